--- /dev/null
+++ b/Source/routing/load_report.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/record_codec.h"
+
+namespace crocusdoor {
+
+/// Load of one target as its own daemon counts it; carried by every answer.
+struct load_report {
+  std::int32_t slots = 0;         ///< Requests the target runs at the same time.
+  std::int32_t slots_in_use = 0;  ///< Requests running now.
+  std::int32_t queued = 0;        ///< Requests waiting for a slot.
+  friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+template <>
+struct record_fields<load_report> {
+  static constexpr auto table =
+      std::make_tuple(required_field("slots", &load_report::slots, {0, 10'000}),
+                      required_field("slots_in_use", &load_report::slots_in_use, {0, 10'000}),
+                      required_field("queued", &load_report::queued, {0, 1'000'000}));
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/transport/peer_link.cpp
@@ -0,0 +1,169 @@
+#include "transport/peer_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <utility>
+
+#include "core/error.h"
+#include "transport/socket_options.h"
+#include "wire/message_codec.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr timeval connect_timeout{3, 0};
+
+}  // namespace
+
+peer_link::peer_link(event_loop& loop, websocket_session::role side, handlers callbacks)
+    : loop_(loop),
+      side_(side),
+      callbacks_(std::move(callbacks)),
+      session_(side, wire::message_size_limit_bytes,
+               {[this](const char* data, std::size_t size) {
+                  bytes_sent_ += size;
+                  if (connection_ != nullptr) {
+                    bufferevent_write(connection_, data, size);
+                  }
+                },
+                [this] {
+                  open_ = true;
+                  callbacks_.opened(*this);
+                },
+                [this](const std::string& payload) { deliver(payload); },
+                [this](const std::string& reason) { close(reason); }}) {}
+
+peer_link::~peer_link() {
+  if (connection_ != nullptr) {
+    bufferevent_free(connection_);
+  }
+}
+
+std::shared_ptr<peer_link> peer_link::connect(event_loop& loop, const ip_endpoint& remote,
+                                              handlers callbacks) {
+  std::shared_ptr<peer_link> link(
+      new peer_link(loop, websocket_session::role::client, std::move(callbacks)));
+  link->self_ = link;
+  link->attach(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
+  sockaddr_storage address{};
+  int length = sizeof(address);
+  const bool numeric =
+      evutil_parse_sockaddr_port(to_string(remote).c_str(), reinterpret_cast<sockaddr*>(&address),
+                                 &length) == 0;
+  const bool started =
+      numeric && bufferevent_socket_connect(link->connection_,
+                                            reinterpret_cast<sockaddr*>(&address), length) == 0;
+  if (started) {
+    bufferevent_set_timeouts(link->connection_, nullptr, &connect_timeout);
+  } else {
+    link->close("cannot connect to " + to_string(remote));
+  }
+  return link;
+}
+
+std::shared_ptr<peer_link> peer_link::accept(event_loop& loop, std::intptr_t descriptor,
+                                             handlers callbacks) {
+  std::shared_ptr<peer_link> link(
+      new peer_link(loop, websocket_session::role::server, std::move(callbacks)));
+  link->self_ = link;
+  link->attach(
+      bufferevent_socket_new(loop.base(), static_cast<int>(descriptor), BEV_OPT_CLOSE_ON_FREE));
+  link->connection_ready();
+  return link;
+}
+
+void peer_link::attach(bufferevent* connection) {
+  connection_ = connection;
+  bufferevent_setcb(connection_, &peer_link::on_read, nullptr, &peer_link::on_event, this);
+}
+
+void peer_link::connection_ready() {
+  detail::set_connection_options(bufferevent_getfd(connection_));
+  bufferevent_set_timeouts(connection_, nullptr, nullptr);
+  bufferevent_enable(connection_, EV_READ | EV_WRITE);
+  session_.start();
+}
+
+bool peer_link::send(const wire::envelope& value) {
+  if (!open_ || finishing_) {
+    return false;
+  }
+  if (evbuffer_get_length(bufferevent_get_output(connection_)) > output_limit_bytes) {
+    close("peer does not read");
+    return false;
+  }
+  return session_.send(wire::encode(value));
+}
+
+void peer_link::close(std::string reason) {
+  if (finishing_) {
+    return;
+  }
+  finishing_ = true;
+  open_ = false;
+  // Freeing the connection here could free it below a callback of libevent or websocketpp.
+  loop_.post([link = shared_from_this(), reason = std::move(reason)] { link->finish(reason); });
+}
+
+void peer_link::finish(const std::string& reason) {
+  const std::shared_ptr<peer_link> keep = std::move(self_);
+  if (connection_ != nullptr) {
+    bufferevent_free(connection_);
+    connection_ = nullptr;
+  }
+  callbacks_.closed(*this, reason);
+  callbacks_ = {};
+}
+
+void peer_link::read_available() {
+  const std::shared_ptr<peer_link> keep = shared_from_this();
+  evbuffer* input = bufferevent_get_input(connection_);
+  while (!finishing_ && evbuffer_get_length(input) > 0) {
+    const std::size_t size = evbuffer_get_contiguous_space(input);
+    const auto* data =
+        reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+    bytes_received_ += size;
+    session_.receive(data, size);
+    evbuffer_drain(input, size);
+  }
+}
+
+void peer_link::deliver(const std::string& payload) {
+  if (finishing_) {
+    return;
+  }
+  handle_failure(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(value, wire::decode(payload));
+        callbacks_.message(*this, value);
+        return {};
+      },
+      [&](const failure& error) {
+        ++refused_messages_;
+        close("refused message: " + error.message);
+      });
+}
+
+void peer_link::on_read(bufferevent*, void* context) {
+  static_cast<peer_link*>(context)->read_available();
+}
+
+void peer_link::on_event(bufferevent*, short what, void* context) {
+  auto* link = static_cast<peer_link*>(context);
+  if ((what & BEV_EVENT_CONNECTED) != 0) {
+    link->connection_ready();
+  } else if ((what & BEV_EVENT_TIMEOUT) != 0) {
+    link->close("connection timed out");
+  } else if ((what & BEV_EVENT_EOF) != 0) {
+    link->close("peer closed the connection");
+  } else if ((what & BEV_EVENT_ERROR) != 0) {
+    link->close(evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/transport/peer_link.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "transport/event_loop.h"
+#include "transport/ip_endpoint.h"
+#include "transport/websocket_session.h"
+#include "wire/message.h"
+
+struct bufferevent;
+
+namespace crocusdoor {
+
+/// One connection to another daemon. A link keeps itself alive until its connection has ended and
+/// `closed` has been called, which happens exactly once.
+class peer_link : public std::enable_shared_from_this<peer_link> {
+ public:
+  struct handlers {
+    std::function<void(peer_link&)> opened;
+    std::function<void(peer_link&, const wire::envelope&)> message;
+    std::function<void(peer_link&, const std::string& reason)> closed;
+  };
+
+  /// Bytes that may wait for a peer that does not read; a link above this limit is closed.
+  static constexpr std::size_t output_limit_bytes = 4'000'000;
+
+  /// Opens a connection to another daemon.
+  [[nodiscard]] static std::shared_ptr<peer_link> connect(event_loop& loop,
+                                                          const ip_endpoint& remote,
+                                                          handlers callbacks);
+  /// Takes over a connection that a listener accepted.
+  [[nodiscard]] static std::shared_ptr<peer_link> accept(event_loop& loop, std::intptr_t descriptor,
+                                                         handlers callbacks);
+
+  ~peer_link();
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+
+  /// Queues a message. False if the link is not open or its output is above the limit; the message
+  /// was then not written and will not be.
+  bool send(const wire::envelope& value);
+
+  /// Ends the connection; `closed` is called in a later turn of the loop.
+  void close(std::string reason);
+
+  [[nodiscard]] bool is_open() const noexcept { return open_; }
+  [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
+  [[nodiscard]] std::uint64_t bytes_received() const noexcept { return bytes_received_; }
+  [[nodiscard]] std::uint64_t refused_messages() const noexcept { return refused_messages_; }
+
+ private:
+  peer_link(event_loop& loop, websocket_session::role side, handlers callbacks);
+
+  void attach(bufferevent* connection);
+  void connection_ready();
+  void read_available();
+  void deliver(const std::string& payload);
+  void finish(const std::string& reason);
+
+  static void on_read(bufferevent* connection, void* context);
+  static void on_event(bufferevent* connection, short what, void* context);
+
+  event_loop& loop_;
+  websocket_session::role side_;
+  handlers callbacks_;
+  websocket_session session_;
+  bufferevent* connection_ = nullptr;
+  std::shared_ptr<peer_link> self_;
+  bool open_ = false;
+  bool finishing_ = false;
+  std::uint64_t bytes_sent_ = 0;
+  std::uint64_t bytes_received_ = 0;
+  std::uint64_t refused_messages_ = 0;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/wire/message.h
@@ -0,0 +1,184 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "configuration/configuration_delta.h"
+#include "configuration/route.h"
+#include "configuration/snapshot.h"
+#include "core/verdict.h"
+#include "membership/instance_record.h"
+#include "routing/load_report.h"
+#include "run_once/claim.h"
+#include "suspicion/crash_report.h"
+
+namespace crocusdoor::wire {
+
+/// Version of the protocol between daemons; a daemon refuses a link with another version.
+inline constexpr std::int32_t protocol_version = 1;
+
+/// Largest encoded message, in bytes. A configuration snapshot is below 1 MB.
+inline constexpr std::size_t message_size_limit_bytes = 2'000'000;
+
+/// Identifies a request on the links of one sender incarnation.
+using request_id = std::uint64_t;
+
+using header_map = std::map<std::string, std::string>;
+
+/// First message on each link, sent by both ends.
+struct hello {
+  instance_record self;
+  digest configuration_digest;
+  version_number seen_version = 0;  ///< Highest version the sender saw the other end hold.
+  friend bool operator==(const hello&, const hello&) = default;
+};
+
+struct heartbeat {
+  std::uint64_t sequence = 0;
+  digest configuration_digest;
+  friend bool operator==(const heartbeat&, const heartbeat&) = default;
+};
+
+struct heartbeat_answer {
+  std::uint64_t sequence = 0;
+  digest configuration_digest;
+  friend bool operator==(const heartbeat_answer&, const heartbeat_answer&) = default;
+};
+
+/// Changed instance records.
+struct records {
+  std::vector<instance_record> changed;
+  friend bool operator==(const records&, const records&) = default;
+};
+
+/// Asks a peer for its whole directory.
+struct records_request {
+  friend bool operator==(const records_request&, const records_request&) = default;
+};
+
+/// Asks a peer for what changed since the version held.
+struct configuration_request {
+  version_number held = 0;
+  friend bool operator==(const configuration_request&, const configuration_request&) = default;
+};
+
+struct configuration_snapshot {
+  snapshot content;
+  digest content_digest;
+  friend bool operator==(const configuration_snapshot&, const configuration_snapshot&) = default;
+};
+
+/// A request on its way to the daemon beside the chosen target.
+struct call {
+  request_id id = 0;
+  std::uint64_t sender_incarnation = 0;
+  service_name service;
+  std::string method;
+  std::string path;
+  header_map headers;
+  byte_string body;
+  std::chrono::milliseconds deadline_left_ms{0};
+  priority_class priority = priority_class::interactive;
+  bool idempotent = false;
+  std::optional<claim> claim_held;
+  std::string traceparent;
+  std::int32_t attempt = 1;
+  std::int32_t retries_left = 0;  ///< Retries that the whole path may still spend.
+  friend bool operator==(const call&, const call&) = default;
+};
+
+struct call_answer {
+  request_id id = 0;
+  verdict outcome = verdict::may_have_run;
+  std::int32_t status = 0;  ///< HTTP status; 0 if no target answered.
+  header_map headers;
+  byte_string body;
+  std::string reason;  ///< Why the request did not run or its outcome is unknown.
+  load_report load;
+  friend bool operator==(const call_answer&, const call_answer&) = default;
+};
+
+struct call_cancel {
+  request_id id = 0;
+  friend bool operator==(const call_cancel&, const call_cancel&) = default;
+};
+
+/// Asks over a new link what became of a request that was sent over a lost one.
+struct call_status {
+  request_id id = 0;
+  std::uint64_t sender_incarnation = 0;
+  friend bool operator==(const call_status&, const call_status&) = default;
+};
+
+/// What a receiver knows of a request id.
+enum class call_progress {
+  never_received,  ///< Binding: a later arrival of the request is refused.
+  waiting,
+  running,
+  done,
+  forgotten,  ///< The record has been evicted; the outcome is unknown.
+};
+
+struct call_status_answer {
+  request_id id = 0;
+  call_progress progress = call_progress::forgotten;
+  std::optional<call_answer> answer;  ///< Present if the progress is `done`.
+  friend bool operator==(const call_status_answer&, const call_status_answer&) = default;
+};
+
+struct claim_request {
+  request_id id = 0;
+  operation_key operation;
+  digest body_digest;
+  std::int64_t expires_at_ms = 0;  ///< Wall time in milliseconds since the Unix epoch.
+  friend bool operator==(const claim_request&, const claim_request&) = default;
+};
+
+struct claim_answer {
+  request_id id = 0;
+  claim_decision decision = claim_decision::refused;
+  std::optional<claim> granted;
+  std::optional<recorded_answer> answer;
+  std::string reason;
+  friend bool operator==(const claim_answer&, const claim_answer&) = default;
+};
+
+struct claim_complete {
+  request_id id = 0;
+  claim_id claim;
+  operation_key operation;
+  verdict outcome = verdict::may_have_run;
+  std::optional<recorded_answer> answer;
+  friend bool operator==(const claim_complete&, const claim_complete&) = default;
+};
+
+struct claim_complete_answer {
+  request_id id = 0;
+  bool recorded = false;
+  friend bool operator==(const claim_complete_answer&, const claim_complete_answer&) = default;
+};
+
+struct suspicions {
+  std::vector<crash_report> reports;
+  friend bool operator==(const suspicions&, const suspicions&) = default;
+};
+
+using message =
+    std::variant<hello, heartbeat, heartbeat_answer, records, records_request,
+                 configuration_request, configuration_delta, configuration_snapshot, call,
+                 call_answer, call_cancel, call_status, call_status_answer, claim_request,
+                 claim_answer, claim_complete, claim_complete_answer, suspicions>;
+
+/// A message with what every message carries.
+struct envelope {
+  version_number configuration_version = 0;  ///< Version that the sender holds.
+  message content;
+  friend bool operator==(const envelope&, const envelope&) = default;
+};
+
+}  // namespace crocusdoor::wire
--- /dev/null
+++ b/Source/wire/message_codec.cpp
@@ -0,0 +1,118 @@
+#include "wire/message_codec.h"
+
+#include <array>
+#include <cstddef>
+#include <utility>
+
+#include "core/record_codec.h"
+#include "wire/message_fields.h"
+
+namespace crocusdoor::wire {
+
+namespace {
+
+constexpr std::array<std::string_view, std::variant_size_v<message>> kind_names = {
+    "hello",
+    "heartbeat",
+    "heartbeat_answer",
+    "records",
+    "records_request",
+    "configuration_request",
+    "configuration_delta",
+    "configuration_snapshot",
+    "call",
+    "call_answer",
+    "call_cancel",
+    "call_status",
+    "call_status_answer",
+    "claim_request",
+    "claim_answer",
+    "claim_complete",
+    "claim_complete_answer",
+    "suspicions",
+};
+
+using body_decoder = message (*)(const json&, record_decoder&);
+
+template <std::size_t Index>
+message decode_body(const json& document, record_decoder& decoder) {
+  std::variant_alternative_t<Index, message> content{};
+  decoder.decode(document, content);
+  return content;
+}
+
+template <std::size_t... Index>
+constexpr std::array<body_decoder, sizeof...(Index)> make_decoders(std::index_sequence<Index...>) {
+  return {&decode_body<Index>...};
+}
+
+constexpr auto body_decoders = make_decoders(std::make_index_sequence<kind_names.size()>());
+
+leaf::result<void> check_header(const json& document) {
+  if (document.is_discarded() || !document.is_object()) {
+    return leaf::new_error(failure{error_code::malformed, "message is not a CBOR map"});
+  }
+  const auto protocol = document.find("protocol");
+  if (protocol == document.end() || *protocol != protocol_version) {
+    return leaf::new_error(failure{error_code::invalid, "message of another protocol version; " +
+                                                            std::to_string(protocol_version) +
+                                                            " is accepted"});
+  }
+  const auto kind = document.find("kind");
+  if (kind == document.end() || !kind->is_string()) {
+    return leaf::new_error(failure{error_code::malformed, "message without a kind"});
+  }
+  const auto version = document.find("configuration_version");
+  if (version == document.end() || !version->is_number_unsigned()) {
+    return leaf::new_error(failure{error_code::malformed, "message without a version"});
+  }
+  if (document.find("body") == document.end()) {
+    return leaf::new_error(failure{error_code::malformed, "message without a body"});
+  }
+  return {};
+}
+
+}  // namespace
+
+std::string_view kind_of(const message& content) {
+  return kind_names.at(content.index());
+}
+
+std::string encode(const envelope& value) {
+  json document = json::object();
+  document["protocol"] = protocol_version;
+  document["kind"] = std::string(kind_of(value.content));
+  document["configuration_version"] = value.configuration_version;
+  document["body"] =
+      std::visit([](const auto& content) { return encode_value(content); }, value.content);
+  std::string bytes;
+  json::to_cbor(document, bytes);
+  return bytes;
+}
+
+leaf::result<envelope> decode(std::string_view bytes) {
+  if (bytes.size() > message_size_limit_bytes) {
+    return leaf::new_error(failure{error_code::over_limit, "message larger than the limit"});
+  }
+  const json document = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  BOOST_LEAF_CHECK(check_header(document));
+  const auto& kind = document["kind"].get_ref<const std::string&>();
+  for (std::size_t index = 0; index < kind_names.size(); ++index) {
+    if (kind_names[index] != kind) {
+      continue;
+    }
+    record_decoder decoder(unknown_keys::ignored);
+    envelope value;
+    value.configuration_version = document["configuration_version"].get<version_number>();
+    value.content = body_decoders[index](document["body"], decoder);
+    if (!decoder.ok()) {
+      const decode_problem& first = decoder.problems().front();
+      return leaf::new_error(
+          failure{error_code::malformed, kind + first.path + ": " + first.message});
+    }
+    return value;
+  }
+  return leaf::new_error(failure{error_code::invalid, "message of unknown kind \"" + kind + "\""});
+}
+
+}  // namespace crocusdoor::wire
--- /dev/null
+++ b/Source/wire/message_fields.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "wire/message.h"
+
+namespace crocusdoor {
+
+template <>
+struct enum_names<wire::call_progress> {
+  static constexpr auto names = make_enum_names<wire::call_progress>({
+      {wire::call_progress::never_received, "never_received"},
+      {wire::call_progress::waiting, "waiting"},
+      {wire::call_progress::running, "running"},
+      {wire::call_progress::done, "done"},
+      {wire::call_progress::forgotten, "forgotten"},
+  });
+};
+
+template <>
+struct record_fields<wire::hello> {
+  static constexpr auto table =
+      std::make_tuple(required_field("self", &wire::hello::self),
+                      required_field("digest", &wire::hello::configuration_digest),
+                      required_field("seen_version", &wire::hello::seen_version));
+};
+
+template <>
+struct record_fields<wire::heartbeat> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::heartbeat::sequence),
+                      required_field("digest", &wire::heartbeat::configuration_digest));
+};
+
+template <>
+struct record_fields<wire::heartbeat_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::heartbeat_answer::sequence),
+                      required_field("digest", &wire::heartbeat_answer::configuration_digest));
+};
+
+template <>
+struct record_fields<wire::records> {
+  static constexpr auto table = std::make_tuple(required_field("changed", &wire::records::changed));
+};
+
+template <>
+struct record_fields<wire::records_request> {
+  static constexpr auto table = std::make_tuple();
+};
+
+template <>
+struct record_fields<wire::configuration_request> {
+  static constexpr auto table =
+      std::make_tuple(required_field("held", &wire::configuration_request::held));
+};
+
+template <>
+struct record_fields<wire::configuration_snapshot> {
+  static constexpr auto table = std::make_tuple(
+      required_field("content", &wire::configuration_snapshot::content),
+      required_field("content_digest", &wire::configuration_snapshot::content_digest));
+};
+
+template <>
+struct record_fields<wire::call> {
+  static constexpr auto table = std::make_tuple(
+      required_field("id", &wire::call::id),
+      required_field("sender_incarnation", &wire::call::sender_incarnation),
+      required_field("service", &wire::call::service),
+      required_field("method", &wire::call::method), required_field("path", &wire::call::path),
+      required_field("headers", &wire::call::headers), required_field("body", &wire::call::body),
+      required_field("deadline_left_ms", &wire::call::deadline_left_ms, {0, 3'600'000}),
+      required_field("priority", &wire::call::priority),
+      required_field("idempotent", &wire::call::idempotent),
+      optional_field("claim", &wire::call::claim_held),
+      optional_field("traceparent", &wire::call::traceparent),
+      required_field("attempt", &wire::call::attempt, {1, 100}),
+      required_field("retries_left", &wire::call::retries_left, {0, 100}));
+};
+
+template <>
+struct record_fields<wire::call_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::call_answer::id),
+                      required_field("outcome", &wire::call_answer::outcome),
+                      required_field("status", &wire::call_answer::status, {0, 999}),
+                      required_field("headers", &wire::call_answer::headers),
+                      required_field("body", &wire::call_answer::body),
+                      optional_field("reason", &wire::call_answer::reason),
+                      required_field("load", &wire::call_answer::load));
+};
+
+template <>
+struct record_fields<wire::call_cancel> {
+  static constexpr auto table = std::make_tuple(required_field("id", &wire::call_cancel::id));
+};
+
+template <>
+struct record_fields<wire::call_status> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::call_status::id),
+                      required_field("sender_incarnation", &wire::call_status::sender_incarnation));
+};
+
+template <>
+struct record_fields<wire::call_status_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::call_status_answer::id),
+                      required_field("progress", &wire::call_status_answer::progress),
+                      optional_field("answer", &wire::call_status_answer::answer));
+};
+
+template <>
+struct record_fields<wire::claim_request> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::claim_request::id),
+                      required_field("operation", &wire::claim_request::operation),
+                      required_field("body_digest", &wire::claim_request::body_digest),
+                      required_field("expires_at_ms", &wire::claim_request::expires_at_ms));
+};
+
+template <>
+struct record_fields<wire::claim_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::claim_answer::id),
+                      required_field("decision", &wire::claim_answer::decision),
+                      optional_field("granted", &wire::claim_answer::granted),
+                      optional_field("answer", &wire::claim_answer::answer),
+                      optional_field("reason", &wire::claim_answer::reason));
+};
+
+template <>
+struct record_fields<wire::claim_complete> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::claim_complete::id),
+                      required_field("claim", &wire::claim_complete::claim),
+                      required_field("operation", &wire::claim_complete::operation),
+                      required_field("outcome", &wire::claim_complete::outcome),
+                      optional_field("answer", &wire::claim_complete::answer));
+};
+
+template <>
+struct record_fields<wire::claim_complete_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::claim_complete_answer::id),
+                      required_field("recorded", &wire::claim_complete_answer::recorded));
+};
+
+template <>
+struct record_fields<wire::suspicions> {
+  static constexpr auto table =
+      std::make_tuple(required_field("reports", &wire::suspicions::reports));
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/Tests/wire/message_codec_test.cpp
@@ -0,0 +1,79 @@
+#include "wire/message_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/record_codec.h"
+
+namespace crocusdoor::wire {
+
+namespace {
+
+envelope sample_call() {
+  call request;
+  request.id = 7;
+  request.service = service_name("advances");
+  request.method = "POST";
+  request.path = "/advances";
+  request.headers = {{"Content-Type", "application/json"}};
+  request.body = {std::string("\0\xff body", 7)};
+  request.deadline_left_ms = std::chrono::milliseconds(1500);
+  return {3, request};
+}
+
+failure decode_failure(std::string_view bytes) {
+  return handle_failure(
+      [&]() -> leaf::result<failure> {
+        BOOST_LEAF_CHECK(decode(bytes));
+        return failure{error_code::not_found, "decoded"};
+      },
+      [](const failure& error) { return error; });
+}
+
+}  // namespace
+
+TEST_CASE("a message survives encoding and decoding", "[P4]") {
+  const envelope sent = sample_call();
+  handle_failure(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(received, decode(encode(sent)));
+        CHECK(received == sent);
+        return {};
+      },
+      [](const failure& error) { FAIL(error.message); });
+}
+
+TEST_CASE("bytes that are no valid message are refused with a reason", "[F12]") {
+  const std::string whole = encode(sample_call());
+
+  SECTION("a truncated message, at every length") {
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+      CHECK(decode_failure(std::string_view(whole).substr(0, length)).code ==
+            error_code::malformed);
+    }
+  }
+
+  SECTION("another protocol version, an unknown kind, and a field of the wrong type") {
+    json document = json::from_cbor(whole);
+    const auto failure_of = [](const json& changed) {
+      std::string bytes;
+      json::to_cbor(changed, bytes);
+      return decode_failure(bytes);
+    };
+    json other = document;
+    other["protocol"] = 2;
+    CHECK(failure_of(other).code == error_code::invalid);
+    other = document;
+    other["kind"] = "shout";
+    CHECK(failure_of(other).code == error_code::invalid);
+    other = document;
+    other["body"]["id"] = -1;
+    CHECK(failure_of(other).message == "call/id: value -1 is outside 0 to 9223372036854775807");
+  }
+
+  SECTION("a message above the size limit") {
+    CHECK(decode_failure(std::string(message_size_limit_bytes + 1, 'x')).code ==
+          error_code::over_limit);
+  }
+}
+
+}  // namespace crocusdoor::wire
--- /dev/null
+++ b/cmake/crocusdoorConfig.cmake
@@ -0,0 +1,6 @@
+include(CMakeFindDependencyMacro)
+find_dependency(nlohmann_json)
+find_dependency(Boost 1.81)
+find_dependency(PkgConfig)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+include(${CMAKE_CURRENT_LIST_DIR}/crocusdoor_targets.cmake)
