--- a/Source/core/record_codec.h
+++ b/Source/core/record_codec.h
@@ -34,6 +34,21 @@
   friend bool operator==(const decode_problem&, const decode_problem&) = default;
 };
 
+/// JSON pointer (RFC 6901) of a member or element of the value at `parent`.
+[[nodiscard]] inline std::string child_pointer(std::string parent, std::string_view key) {
+  parent += '/';
+  for (const char character : key) {
+    if (character == '~') {
+      parent += "~0";
+    } else if (character == '/') {
+      parent += "~1";
+    } else {
+      parent += character;
+    }
+  }
+  return parent;
+}
+
 /// Whether a key must be present in a document.
 enum class presence { required, optional };
 
@@ -267,7 +282,7 @@
           },
           record_fields<T>::table);
       if (!known) {
-        report(path + "/" + item.key(), "unknown key; accepted keys: " + accepted);
+        report(child_pointer(path, item.key()), "unknown key; accepted keys: " + accepted);
       }
     }
   }
@@ -317,7 +332,7 @@
     value.clear();
     for (const auto& item : document.items()) {
       T element{};
-      decode(item.value(), element, path + "/" + item.key(), range);
+      decode(item.value(), element, child_pointer(path, item.key()), range);
       value.emplace(Key(item.key()), std::move(element));
     }
   }
