--- a/Source/configuration/document_parser.cpp
+++ b/Source/configuration/document_parser.cpp
@@ -264,4 +264,13 @@
   return text;
 }
 
+std::string describe_problems(const std::vector<decode_problem>& problems) {
+  std::string text;
+  for (const decode_problem& problem : problems) {
+    text += text.empty() ? "" : "\n";
+    text += (problem.path.empty() ? "/" : problem.path) + ": " + problem.message;
+  }
+  return text;
+}
+
 }  // namespace crocusdoor
--- a/Source/configuration/document_parser.h
+++ b/Source/configuration/document_parser.h
@@ -51,4 +51,7 @@
 [[nodiscard]] std::string describe_problems(const parsed_document& document,
                                             const std::vector<decode_problem>& problems);
 
+/// One line for each problem without a text that it stands in: "/listen/port: value 0 is outside".
+[[nodiscard]] std::string describe_problems(const std::vector<decode_problem>& problems);
+
 }  // namespace crocusdoor
--- /dev/null
+++ b/Source/configuration/head_document.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "configuration/change_record.h"
+#include "configuration/snapshot.h"
+#include "core/digest.h"
+#include "core/error.h"
+#include "core/record_codec.h"
+
+namespace crocusdoor {
+
+/// Largest value that the platform stores, in bytes.
+inline constexpr std::size_t head_size_limit_bytes = 1'000'000;
+
+/// Changes that the head keeps. A confirmation whose response was lost is recognised as long as its
+/// plan is among them.
+inline constexpr std::size_t head_change_limit = 64;
+
+/// Content of the platform object `configuration/head`.
+struct head_document {
+  snapshot content;
+  digest content_digest = digest_of(snapshot{});
+  std::string writer_nonce;  ///< Chosen anew for each write; tells the writer's own write apart.
+  std::vector<change_record> changes;  ///< Latest changes, oldest first.
+  friend bool operator==(const head_document&, const head_document&) = default;
+};
+
+template <>
+struct record_fields<head_document> {
+  static constexpr auto table =
+      std::make_tuple(required_field("content", &head_document::content),
+                      required_field("digest", &head_document::content_digest),
+                      required_field("writer", &head_document::writer_nonce),
+                      required_field("changes", &head_document::changes));
+};
+
+/// Every rule that the head breaks: those of its snapshot, its digest, and the order of its
+/// changes.
+[[nodiscard]] std::vector<decode_problem> validate(const head_document& head);
+
+/// JSON text for the platform object.
+[[nodiscard]] std::string encode_head(const head_document& head);
+
+/// Decodes and validates the platform object as a whole. Fails with `error_code::malformed`,
+/// `invalid` or `over_limit`; the message names every fault. An object that is missing on the
+/// platform is the head of version 0, `head_document{}`.
+[[nodiscard]] leaf::result<head_document> parse_head(std::string_view text);
+
+/// Adds a change, drops the oldest beyond 64, and removes sentences and touched resources from the
+/// oldest changes until the encoded head fits the size limit. Fails with `error_code::over_limit`
+/// if it does not fit even then.
+[[nodiscard]] leaf::result<head_document> with_change(head_document head, change_record change);
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/configuration/resource_rules.cpp
@@ -0,0 +1,178 @@
+#include "configuration/resource_rules.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+#include <type_traits>
+
+namespace crocusdoor::detail {
+
+namespace {
+
+constexpr std::size_t name_length_limit = 128;
+constexpr std::size_t prefix_length_limit = 1024;
+constexpr std::size_t text_length_limit = 2000;
+
+bool is_letter_or_digit(char character) {
+  return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+         (character >= '0' && character <= '9');
+}
+
+bool is_name_character(char character) {
+  return is_letter_or_digit(character) || character == '-' || character == '_' || character == '.';
+}
+
+bool is_header_name_character(char character) {
+  return is_letter_or_digit(character) ||
+         std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+}
+
+bool is_prefix_character(char character) {
+  return character > ' ' && character < '\x7F' && character != '?' && character != '#';
+}
+
+/// Checks the numbers of a record against the ranges of its field table, so that a resource made by
+/// a program obeys the same limits as one that was decoded.
+template <typename Record>
+void check_ranges(const std::string& path, const Record& one,
+                  std::vector<decode_problem>& problems) {
+  const auto check_field = [&](const auto& field) {
+    const auto& member = one.*(field.member);
+    using member_type = std::decay_t<decltype(member)>;
+    std::int64_t number = 0;
+    if constexpr (is_duration<member_type>::value) {
+      number = member.count();
+    } else if constexpr (std::is_integral_v<member_type>) {
+      number = static_cast<std::int64_t>(member);
+    } else {
+      return;
+    }
+    if (number < field.range.least || number > field.range.most) {
+      problems.push_back(
+          {path + "/" + std::string(field.key), "value " + std::to_string(number) + " is outside " +
+                                                    std::to_string(field.range.least) + " to " +
+                                                    std::to_string(field.range.most)});
+    }
+  };
+  std::apply([&](const auto&... field) { (check_field(field), ...); },
+             record_fields<Record>::table);
+}
+
+void check_text(const std::string& path, const std::string& text,
+                std::vector<decode_problem>& problems) {
+  if (text.size() > text_length_limit || !is_utf8(text)) {
+    problems.push_back({path, "a text has at most " + std::to_string(text_length_limit) +
+                                  " bytes of valid UTF-8"});
+  }
+}
+
+void check_decision(const std::string& path, const decision_record& decision,
+                    std::vector<decode_problem>& problems) {
+  check_text(path + "/decided_by", decision.decided_by, problems);
+  check_text(path + "/decided_on", decision.decided_on, problems);
+  check_text(path + "/reason", decision.reason, problems);
+}
+
+void check_prefix(const std::string& path, const std::string& prefix,
+                  std::vector<decode_problem>& problems) {
+  const bool characters_ok = std::all_of(prefix.begin(), prefix.end(), is_prefix_character);
+  if (!prefix.starts_with('/') || prefix.size() > prefix_length_limit || !characters_ok) {
+    problems.push_back(
+        {path + "/path_prefix", "a path prefix starts with \"/\" and has at most " +
+                                    std::to_string(prefix_length_limit) +
+                                    " visible ASCII characters other than \"?\" and \"#\""});
+  }
+}
+
+void check_key_name(const std::string& path, const run_once_action& one,
+                    std::vector<decode_problem>& problems) {
+  const std::string& name = one.key_name;
+  const auto consists_of = [&](auto accepted) {
+    return !name.empty() && std::all_of(name.begin(), name.end(), accepted);
+  };
+  const auto is_digit = [](char character) { return character >= '0' && character <= '9'; };
+  const std::string place = path + "/key_name";
+  if (one.key_in == key_location::path_segment && !(consists_of(is_digit) && name.size() <= 3)) {
+    problems.push_back({place, "a path segment is given by its number, counted from 0"});
+  } else if (one.key_in == key_location::header && !consists_of(is_header_name_character)) {
+    problems.push_back({place, "the name of an HTTP header is expected"});
+  } else if (name.empty()) {
+    problems.push_back({place, "the idempotency key needs a name"});
+  } else {
+    check_text(place, name, problems);
+  }
+}
+
+}  // namespace
+
+bool is_utf8(std::string_view text) {
+  std::size_t next = 0;
+  while (next < text.size()) {
+    const auto first = static_cast<unsigned char>(text[next]);
+    const std::size_t length = first < 0x80U                      ? 1
+                               : first >= 0xC2U && first <= 0xDFU ? 2
+                               : first >= 0xE0U && first <= 0xEFU ? 3
+                               : first >= 0xF0U && first <= 0xF4U ? 4
+                                                                  : 0;
+    if (length == 0 || next + length > text.size()) {
+      return false;
+    }
+    for (std::size_t i = 1; i < length; ++i) {
+      const auto byte = static_cast<unsigned char>(text[next + i]);
+      // The second byte excludes overlong forms, surrogates and code points above U+10FFFF.
+      const unsigned least = i > 1            ? 0x80U
+                             : first == 0xE0U ? 0xA0U
+                             : first == 0xF0U ? 0x90U
+                                              : 0x80U;
+      const unsigned most = i > 1 ? 0xBFU : first == 0xEDU ? 0x9FU : first == 0xF4U ? 0x8FU : 0xBFU;
+      if (byte < least || byte > most) {
+        return false;
+      }
+    }
+    next += length;
+  }
+  return true;
+}
+
+void check_name(const std::string& path, const std::string& name,
+                std::vector<decode_problem>& problems) {
+  const bool characters_ok = std::all_of(name.begin(), name.end(), is_name_character);
+  if (name.empty() || name.size() > name_length_limit || !characters_ok) {
+    problems.push_back(
+        {path, "a name has 1 to 128 letters, digits, hyphens, underscores and full stops"});
+  }
+}
+
+void check_resource(const std::string& path, const service& one,
+                    std::vector<decode_problem>& problems) {
+  check_name(path + "/name", one.name.str(), problems);
+  check_ranges(path, one, problems);
+  check_decision(path + "/decision", one.decision, problems);
+}
+
+void check_resource(const std::string& path, const route& one,
+                    std::vector<decode_problem>& problems) {
+  check_name(path + "/name", one.name.str(), problems);
+  check_prefix(path, one.path_prefix, problems);
+  check_name(path + "/service", one.service.str(), problems);
+  check_ranges(path, one, problems);
+  check_decision(path + "/decision", one.decision, problems);
+}
+
+void check_resource(const std::string& path, const run_once_action& one,
+                    std::vector<decode_problem>& problems) {
+  check_name(path + "/name", one.name.str(), problems);
+  check_name(path + "/service", one.service.str(), problems);
+  const bool method_ok = !one.method.empty() && one.method.size() <= 32 &&
+                         std::all_of(one.method.begin(), one.method.end(),
+                                     [](char c) { return c >= 'A' && c <= 'Z'; });
+  if (!method_ok) {
+    problems.push_back({path + "/method", "an HTTP method in capital letters is expected"});
+  }
+  check_prefix(path, one.path_prefix, problems);
+  check_key_name(path, one, problems);
+  check_ranges(path, one, problems);
+  check_decision(path + "/decision", one.decision, problems);
+}
+
+}  // namespace crocusdoor::detail
--- a/Source/configuration/snapshot.h
+++ b/Source/configuration/snapshot.h
@@ -10,6 +10,7 @@
 #include "configuration/route.h"
 #include "configuration/run_once_action.h"
 #include "configuration/service.h"
+#include "configuration/snapshot_index.h"
 #include "core/digest.h"
 #include "core/error.h"
 #include "core/record_codec.h"
@@ -25,11 +26,15 @@
 
 /// One whole configuration version. Immutable once it is adopted; a request uses the snapshot that
 /// was current when it arrived until it ends.
+///
+/// Make a shared snapshot with `share_snapshot`, which builds the index that `find_route` and
+/// `find_action` use; without it they look at every route or action.
 struct snapshot {
   version_number version = 0;
   std::map<service_name, service> services;
   std::map<route_name, route> routes;
   std::map<action_name, run_once_action> actions;
+  snapshot_index index;  ///< Derived from the rest; not encoded, compared or copied.
   friend bool operator==(const snapshot&, const snapshot&) = default;
 };
 
@@ -43,17 +48,24 @@
 
 using snapshot_pointer = std::shared_ptr<const snapshot>;
 
-/// Digest of the whole content, the version included.
+/// Puts a snapshot behind a shared pointer and builds its index.
+[[nodiscard]] snapshot_pointer share_snapshot(snapshot content);
+
+/// The encoded form that is stored, sent and counted against the size limit: JSON with sorted keys.
+[[nodiscard]] std::string encode_snapshot(const snapshot& content);
+
+/// Digest of the whole content, the version included: the digest of `encode_snapshot`.
 [[nodiscard]] digest digest_of(const snapshot& content);
 
-/// Every rule that the content breaks; empty for a valid configuration.
+/// Every rule that the content breaks; empty for a valid configuration. The size limit is not
+/// checked here but where the encoded form is at hand.
 [[nodiscard]] std::vector<decode_problem> validate(const snapshot& content);
 
 /// Decodes and validates a whole snapshot. Fails with `error_code::malformed`, `invalid` or
 /// `over_limit`; the message names every fault with its place.
 [[nodiscard]] leaf::result<snapshot> parse_snapshot(const json& document);
 
-/// Route with the longest prefix of whole path segments, or nullptr.
+/// Route with the longest prefix of whole path segments, or nullptr. The path may end in a query.
 [[nodiscard]] const route* find_route(const snapshot& content, std::string_view path);
 
 /// Run-once action that covers a request to a service, or nullptr.
--- /dev/null
+++ b/Source/configuration/snapshot_index.cpp
@@ -0,0 +1,29 @@
+#include "configuration/snapshot_index.h"
+
+#include "configuration/snapshot.h"
+
+namespace crocusdoor {
+
+void snapshot_index::build(const snapshot& content) {
+  auto built = std::make_unique<tables>();
+  for (const auto& [name, one] : content.routes) {
+    built->routes.insert(one.path_prefix, &one);
+  }
+  for (const auto& [name, one] : content.actions) {
+    built->actions[{one.service.str(), one.method}].insert(one.path_prefix, &one);
+  }
+  tables_ = std::move(built);
+}
+
+const route* snapshot_index::find_route(std::string_view path) const {
+  return tables_->routes.find(path);
+}
+
+const run_once_action* snapshot_index::find_action(const service_name& target_service,
+                                                   std::string_view method,
+                                                   std::string_view path) const {
+  const auto found = tables_->actions.find({target_service.str(), method});
+  return found == tables_->actions.end() ? nullptr : found->second.find(path);
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/configuration/snapshot_index.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <utility>
+
+#include "configuration/prefix_table.h"
+#include "configuration/route.h"
+#include "configuration/run_once_action.h"
+
+namespace crocusdoor {
+
+struct snapshot;
+
+/// Compiled tables of the routes and actions of one snapshot. It points into that snapshot, so a
+/// copied or moved snapshot starts without one, and it is no part of the snapshot's value.
+class snapshot_index {
+ public:
+  snapshot_index() = default;
+  snapshot_index(const snapshot_index& /*other*/) noexcept {}
+  snapshot_index(snapshot_index&& /*other*/) noexcept {}
+  snapshot_index& operator=(const snapshot_index& /*other*/) noexcept {
+    tables_.reset();
+    return *this;
+  }
+  snapshot_index& operator=(snapshot_index&& /*other*/) noexcept {
+    tables_.reset();
+    return *this;
+  }
+  ~snapshot_index() = default;
+
+  /// Builds the tables of the snapshot that holds this index. The snapshot must not change
+  /// afterwards.
+  void build(const snapshot& content);
+
+  [[nodiscard]] bool built() const noexcept { return tables_ != nullptr; }
+
+  /// As `crocusdoor::find_route`; the index must be built.
+  [[nodiscard]] const route* find_route(std::string_view path) const;
+
+  /// As `crocusdoor::find_action`; the index must be built.
+  [[nodiscard]] const run_once_action* find_action(const service_name& target_service,
+                                                   std::string_view method,
+                                                   std::string_view path) const;
+
+  friend bool operator==(const snapshot_index& /*left*/, const snapshot_index& /*right*/) {
+    return true;
+  }
+
+ private:
+  struct tables {
+    detail::prefix_table<route> routes;
+    std::map<std::pair<std::string_view, std::string_view>, detail::prefix_table<run_once_action>>
+        actions;  ///< By service and method.
+  };
+
+  std::unique_ptr<const tables> tables_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/configuration/version_floor.cpp
@@ -0,0 +1,47 @@
+#include "configuration/version_floor.h"
+
+#include <algorithm>
+#include <set>
+
+namespace crocusdoor {
+
+void version_floor_estimator::platform_answered(version_number version) {
+  platform_version_ = std::max(platform_version_.value_or(0), version);
+}
+
+void version_floor_estimator::peer_attested(const instance_name& peer, const failure_domain& domain,
+                                            version_number held, version_number last_seen) {
+  attestation& known = attestations_[peer];
+  known.domain = domain;
+  known.version = std::max({known.version, held, last_seen});
+}
+
+void version_floor_estimator::set_known_peers(std::size_t count, std::size_t domains) {
+  known_peers_ = count;
+  known_domains_ = domains;
+}
+
+std::optional<version_number> version_floor_estimator::floor() const {
+  if (platform_version_.has_value()) {
+    return platform_version_;
+  }
+  if (!attested_enough()) {
+    return std::nullopt;
+  }
+  version_number highest = 0;
+  for (const auto& [peer, one] : attestations_) {
+    highest = std::max(highest, one.version);
+  }
+  return highest;
+}
+
+bool version_floor_estimator::attested_enough() const {
+  std::set<failure_domain> domains;
+  for (const auto& [peer, one] : attestations_) {
+    domains.insert(one.domain);
+  }
+  return known_peers_ > 0 && attestations_.size() >= std::min(floor_peers_needed, known_peers_) &&
+         domains.size() >= std::min(floor_domains_needed, known_domains_);
+}
+
+}  // namespace crocusdoor
--- a/Source/core/record_codec.h
+++ b/Source/core/record_codec.h
@@ -199,7 +199,9 @@
   template <typename T>
   void decode(const json& document, T& value, const std::string& path = "",
               const number_range& range = {}) {
-    if constexpr (detail::described_record<T>) {
+    if constexpr (std::is_same_v<T, json>) {
+      value = document;
+    } else if constexpr (detail::described_record<T>) {
       decode_record(document, value, path);
     } else if constexpr (detail::described_enum<T>) {
       decode_enum(document, value, path);
