--- /dev/null
+++ b/Source/run_once/claim_service.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "core/strong_string.h"
+#include "run_once/shard_directory.h"
+#include "run_once/shard_log.h"
+
+namespace crocusdoor {
+
+/// All shard logs of one instance. Inputs and effects are those of `shard_log`; the service routes
+/// requests by operation key and platform results by object name.
+class claim_service {
+ public:
+  claim_service(instance_name self, random_source& random, const shard_log_settings& settings = {});
+
+  /// Takes and gives up shards according to the live members, this instance included. To be called
+  /// whenever the set changes.
+  shard_effects set_live_members(const std::vector<instance_name>& live, clock_reading at);
+
+  /// Instance to send requests of an operation to, as of the last `set_live_members`.
+  [[nodiscard]] std::optional<instance_name> owner_of(const operation_key& operation) const;
+  [[nodiscard]] bool owns(std::uint32_t shard) const;
+
+  shard_effects request_claim(ticket_number ticket, const claim_parameters& parameters,
+                              clock_reading at);
+  shard_effects complete(ticket_number ticket, const claim_id& id, const operation_key& operation,
+                         verdict outcome, const std::optional<recorded_answer>& answer,
+                         clock_reading at);
+  shard_effects resolve(ticket_number ticket, const operation_key& operation,
+                        const operation_resolution& resolution, clock_reading at);
+
+  /// Results of platform operations; names of objects outside the log are ignored.
+  shard_effects object_created(const std::string& name, clock_reading at);
+  shard_effects object_exists(const std::string& name, const std::string& content,
+                              clock_reading at);
+  shard_effects object_read(const std::string& name, const std::optional<std::string>& content,
+                            object_version version, clock_reading at);
+  shard_effects object_written(const std::string& name, object_version version, clock_reading at);
+  shard_effects object_changed(const std::string& name, clock_reading at);
+  shard_effects object_result_unknown(const std::string& name, clock_reading at);
+  shard_effects object_unavailable(const std::string& name, clock_reading at);
+
+  shard_effects tick(clock_reading at);
+  [[nodiscard]] std::optional<time_point> next_wakeup() const;
+
+  /// One operation, or nothing if it is unknown or its shard is not active here.
+  [[nodiscard]] std::optional<operation_status> operation(const operation_key& key,
+                                                          wall_time wall) const;
+  /// Operations of the shards that are active here; with `in_doubt_only`, those an operator has to
+  /// resolve.
+  [[nodiscard]] std::vector<operation_status> operations(wall_time wall, bool in_doubt_only) const;
+  [[nodiscard]] const std::vector<shard_log>& shards() const noexcept { return shards_; }
+
+ private:
+  template <typename Input>
+  shard_effects for_object(const std::string& name, Input input);
+
+  instance_name self_;
+  std::vector<shard_log> shards_;
+  std::vector<std::optional<instance_name>> owners_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/run_once/shard_directory.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "core/strong_string.h"
+#include "run_once/claim.h"
+
+namespace crocusdoor {
+
+/// Number of shards of the run-once log. Changing it would assign existing keys to other logs.
+inline constexpr std::uint32_t run_once_shard_count = 64;
+
+/// Shard of an operation, the same on every instance.
+[[nodiscard]] std::uint32_t shard_of(const operation_key& operation);
+
+/// Owner of a shard: the first live member by rendezvous hash; nothing if nobody is live.
+[[nodiscard]] std::optional<instance_name> shard_owner(std::uint32_t shard,
+                                                       const std::vector<instance_name>& live);
+
+/// Shard that a platform object of the run-once log belongs to; nothing for other objects.
+[[nodiscard]] std::optional<std::uint32_t> shard_of_object(std::string_view object_name);
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/run_once/shard_log_platform.cpp
@@ -0,0 +1,142 @@
+// Results of platform operations and timers; shard_log.cpp holds ownership and the log.
+#include <algorithm>
+#include <utility>
+
+#include "run_once/shard_log.h"
+
+namespace crocusdoor {
+
+void shard_log::result_arrived(const std::string& name) {
+  outstanding_.erase(name);
+}
+
+shard_effects shard_log::object_created(const std::string& name, clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (writer_.expects(name)) {
+    write_settled(writer_.created(at.now, effects), at, effects);
+  } else if (checkpoint_.expects(name)) {
+    checkpoint_.part_created(table_, effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_exists(const std::string& name, const std::string& content,
+                                       clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (writer_.expects(name)) {
+    write_settled(writer_.exists(content, at.now, effects), at, effects);
+  } else if (checkpoint_.expects(name)) {
+    // The name holds an identifier of this writer, so an earlier attempt took effect.
+    checkpoint_.part_created(table_, effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_read(const std::string& name,
+                                     const std::optional<std::string>& content,
+                                     object_version version, clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (phase_ == phase::loading && reader_.expects(name)) {
+    load_finished(reader_.read(content, version, effects), at, effects);
+  } else if (writer_.expects(name)) {
+    write_settled(writer_.read(content, at.now, effects), at, effects);
+  } else if (checkpoint_.expects(name)) {
+    checkpoint_settled(checkpoint_.header_read(content, version, table_, at.now, effects), at,
+                       effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_written(const std::string& name, object_version version,
+                                        clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (checkpoint_.expects(name)) {
+    checkpoint_settled(checkpoint_.header_written(version, effects), at, effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_changed(const std::string& name, clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (checkpoint_.expects(name)) {
+    checkpoint_.header_changed(effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_result_unknown(const std::string& name, clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (phase_ == phase::loading && reader_.expects(name)) {
+    reader_.read_failed();
+    load_failed(at, effects);
+  } else if (writer_.expects(name)) {
+    write_settled(writer_.result_unknown(at.now, effects), at, effects);
+  } else if (checkpoint_.expects(name)) {
+    checkpoint_.result_unknown(at.now, effects);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::object_unavailable(const std::string& name, clock_reading at) {
+  shard_effects effects;
+  result_arrived(name);
+  if (phase_ == phase::loading && reader_.expects(name)) {
+    reader_.read_failed();
+    load_failed(at, effects);
+  } else if (writer_.expects(name)) {
+    write_settled(writer_.unavailable(at.now, effects), at, effects);
+  } else if (checkpoint_.expects(name)) {
+    checkpoint_.unavailable(at.now);
+  }
+  return finish(at, std::move(effects));
+}
+
+shard_effects shard_log::tick(clock_reading at) {
+  shard_effects effects;
+  expire_requests(at, effects);
+  if (phase_ == phase::loading && load_retry_at_.has_value() && at.now >= *load_retry_at_) {
+    load_retry_at_.reset();
+    reader_.resume(effects);
+  }
+  if (writer_.backing_off()) {
+    write_settled(writer_.tick(at.now, effects), at, effects);
+  }
+  checkpoint_.tick(at.now, effects);
+  return finish(at, std::move(effects));
+}
+
+std::optional<time_point> shard_log::next_wakeup() const {
+  std::optional<time_point> earliest;
+  const auto consider = [&](const std::optional<time_point>& at) {
+    if (at.has_value()) {
+      earliest = std::min(earliest.value_or(*at), *at);
+    }
+  };
+  consider(pending_.earliest_deadline());
+  for (const auto& [operation, request] : waiters_) {
+    consider(request.deadline);
+  }
+  for (const waiting_claim& request : early_claims_) {
+    consider(request.deadline);
+  }
+  consider(writer_.retry_at());
+  consider(checkpoint_.retry_at());
+  if (phase_ == phase::loading) {
+    consider(load_retry_at_);
+  }
+  if (phase_ == phase::waiting) {
+    consider(retake_at_);
+  }
+  if (phase_ == phase::active && !pending_.queue_empty()) {
+    consider(write_retry_at_);
+  }
+  return earliest;
+}
+
+}  // namespace crocusdoor
