--- /dev/null
+++ b/Source/link/pending_calls.cpp
@@ -0,0 +1,105 @@
+#include "link/pending_calls.h"
+
+namespace crocusdoor {
+
+bool pending_calls::add(wire::request_id id, const peer_process& receiver, time_point deadline,
+                        bool written) {
+  if (!calls_.try_emplace(id, call{receiver, deadline, written}).second) {
+    return false;
+  }
+  deadlines_.emplace(deadline, id);
+  return true;
+}
+
+void pending_calls::set_written(wire::request_id id) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end()) {
+    found->second.written = true;
+  }
+}
+
+std::optional<call_outcome> pending_calls::answer(const wire::call_answer& answer,
+                                                  const peer_process& from) {
+  const auto found = calls_.find(answer.id);
+  if (found == calls_.end() || found->second.receiver != from || !found->second.written) {
+    ++dropped_;
+    return std::nullopt;
+  }
+  call_outcome result = finish(found, answer.outcome, answer.reason);
+  result.answer = answer;
+  return result;
+}
+
+lost_link_calls pending_calls::link_lost(const instance_name& instance) {
+  lost_link_calls result;
+  for (auto next = calls_.begin(); next != calls_.end();) {
+    const auto found = next++;
+    if (found->second.receiver.name != instance) {
+      continue;
+    }
+    if (found->second.written) {
+      result.to_query.push_back(found->first);
+    } else {
+      result.outcomes.push_back(
+          finish(found, verdict::not_run, "the link was lost before the request was written"));
+    }
+  }
+  return result;
+}
+
+std::optional<call_outcome> pending_calls::status(const wire::call_status_answer& answer,
+                                                  const peer_process& from) {
+  const auto found = calls_.find(answer.id);
+  if (found == calls_.end() || found->second.receiver.name != from.name) {
+    ++dropped_;
+    return std::nullopt;
+  }
+  if (found->second.receiver.incarnation != from.incarnation) {
+    return finish(found, verdict::may_have_run, "the daemon of the target was restarted");
+  }
+  switch (answer.progress) {
+    case wire::call_progress::waiting:
+    case wire::call_progress::running:
+      return std::nullopt;
+    case wire::call_progress::never_received:
+      return finish(found, verdict::not_run, "the request was lost with its link");
+    case wire::call_progress::done:
+      if (answer.answer.has_value() && answer.answer->id == answer.id) {
+        call_outcome result = finish(found, answer.answer->outcome, answer.answer->reason);
+        result.answer = answer.answer;
+        return result;
+      }
+      break;
+    case wire::call_progress::forgotten:
+      break;
+  }
+  return finish(found, verdict::may_have_run, "the receiver no longer knows the outcome");
+}
+
+std::vector<call_outcome> pending_calls::expire(time_point now) {
+  std::vector<call_outcome> outcomes;
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const auto found = calls_.find(deadlines_.begin()->second);
+    const bool written = found->second.written;
+    outcomes.push_back(finish(found, written ? verdict::may_have_run : verdict::not_run,
+                              "the deadline passed without an answer"));
+  }
+  return outcomes;
+}
+
+std::optional<time_point> pending_calls::next_deadline() const {
+  if (deadlines_.empty()) {
+    return std::nullopt;
+  }
+  return deadlines_.begin()->first;
+}
+
+call_outcome pending_calls::finish(call_map::iterator found, verdict outcome, std::string reason) {
+  call_outcome result{found->first, found->second.receiver, outcome, std::nullopt,
+                      std::move(reason)};
+  deadlines_.erase({found->second.deadline, found->first});
+  calls_.erase(found);
+  return result;
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/link/request_ledger.cpp
@@ -0,0 +1,150 @@
+#include "link/request_ledger.h"
+
+#include <algorithm>
+
+namespace crocusdoor {
+
+namespace {
+
+std::size_t size_of(const wire::call_answer& answer) {
+  std::size_t bytes = sizeof(answer) + answer.body.bytes.size() + answer.reason.size();
+  for (const auto& [name, value] : answer.headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+request_ledger::sender_state* request_ledger::sender_for(const instance_name& sender,
+                                                         std::uint64_t incarnation,
+                                                         time_point now) {
+  const auto found = senders_.find(sender);
+  if (found == senders_.end()) {
+    if (senders_.size() >= limits_.senders) {
+      return nullptr;
+    }
+    return &senders_.emplace(sender, sender_state{incarnation, 0, now}).first->second;
+  }
+  if (found->second.incarnation > incarnation) {
+    return nullptr;
+  }
+  if (found->second.incarnation < incarnation) {
+    found->second = {incarnation, 0, now};
+  }
+  found->second.heard = now;
+  return &found->second;
+}
+
+receipt request_ledger::receive(const instance_name& sender, std::uint64_t sender_incarnation,
+                                wire::request_id id, time_point now) {
+  const key wanted(sender, sender_incarnation, id);
+  const auto found = requests_.find(wanted);
+  if (found != requests_.end()) {
+    return found->second.progress == wire::call_progress::never_received ? receipt::refused
+                                                                         : receipt::duplicate;
+  }
+  sender_state* state = sender_for(sender, sender_incarnation, now);
+  if (state == nullptr || id <= state->floor) {
+    return receipt::refused;
+  }
+  if (!make_room()) {
+    state->floor = id;
+    return receipt::refused;
+  }
+  if (id <= state->floor) {
+    return receipt::refused;
+  }
+  requests_.emplace(wanted, request{});
+  return receipt::accepted;
+}
+
+void request_ledger::set_running(const instance_name& sender, std::uint64_t sender_incarnation,
+                                 wire::request_id id) {
+  const auto found = requests_.find({sender, sender_incarnation, id});
+  if (found != requests_.end() && found->second.progress == wire::call_progress::waiting) {
+    found->second.progress = wire::call_progress::running;
+  }
+}
+
+void request_ledger::set_done(const instance_name& sender, std::uint64_t sender_incarnation,
+                              const wire::call_answer& answer, time_point now) {
+  const auto found = requests_.find({sender, sender_incarnation, answer.id});
+  if (found == requests_.end() || found->second.progress == wire::call_progress::done ||
+      found->second.progress == wire::call_progress::never_received) {
+    return;
+  }
+  found->second.answer = answer;
+  found->second.bytes = size_of(answer);
+  answer_bytes_ += found->second.bytes;
+  settle(found->first, found->second, wire::call_progress::done, now);
+  while (answer_bytes_ > limits_.answer_bytes) {
+    evict(key(settled_.begin()->second));
+  }
+}
+
+wire::call_status_answer request_ledger::query(const instance_name& sender,
+                                               std::uint64_t sender_incarnation,
+                                               wire::request_id id, time_point now) {
+  wire::call_status_answer result;
+  result.id = id;
+  const key wanted(sender, sender_incarnation, id);
+  const auto found = requests_.find(wanted);
+  if (found != requests_.end()) {
+    result.progress = found->second.progress;
+    result.answer = found->second.answer;
+    return result;
+  }
+  const sender_state* state = sender_for(sender, sender_incarnation, now);
+  if (state == nullptr || id <= state->floor || !make_room() || id <= state->floor) {
+    return result;
+  }
+  request& entry = requests_[wanted];
+  settle(wanted, entry, wire::call_progress::never_received, now);
+  result.progress = wire::call_progress::never_received;
+  return result;
+}
+
+void request_ledger::settle(const key& id, request& entry, wire::call_progress progress,
+                            time_point now) {
+  entry.progress = progress;
+  entry.settled = now;
+  settled_.emplace(now, id);
+}
+
+bool request_ledger::make_room() {
+  if (requests_.size() < limits_.requests) {
+    return true;
+  }
+  if (settled_.empty()) {
+    return false;
+  }
+  evict(key(settled_.begin()->second));
+  return true;
+}
+
+void request_ledger::evict(const key& id) {
+  const auto found = requests_.find(id);
+  const auto sender = senders_.find(std::get<instance_name>(id));
+  if (sender != senders_.end() && sender->second.incarnation == std::get<1>(id)) {
+    sender->second.floor = std::max(sender->second.floor, std::get<2>(id));
+  }
+  settled_.erase({found->second.settled, id});
+  answer_bytes_ -= found->second.bytes;
+  requests_.erase(found);
+}
+
+void request_ledger::expire(time_point now) {
+  while (!settled_.empty() && settled_.begin()->first + limits_.answer_age <= now) {
+    evict(key(settled_.begin()->second));
+  }
+  for (auto sender = senders_.begin(); sender != senders_.end();) {
+    const auto first = requests_.lower_bound({sender->first, 0, 0});
+    const bool in_use =
+        first != requests_.end() && std::get<instance_name>(first->first) == sender->first;
+    const bool aged = sender->second.heard + limits_.sender_age <= now;
+    sender = aged && !in_use ? senders_.erase(sender) : std::next(sender);
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/suspicion/crash_suspicions.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/digest.h"
+#include "core/time.h"
+#include "suspicion/crash_report.h"
+
+namespace crocusdoor {
+
+/// Sizes and times of crash suspicions.
+struct crash_suspicion_limits {
+  std::chrono::milliseconds age = std::chrono::minutes(10);  ///< Older reports do not count.
+  /// Reports dated further ahead are refused: a clearing from a clock that is far ahead would hide
+  /// later crashes.
+  std::chrono::milliseconds clock_skew = std::chrono::seconds(30);
+  std::size_t requests = 10'000;  ///< The requests with the oldest reports are dropped first.
+};
+
+/// What a target's daemon does with a request.
+enum class crash_decision {
+  allow,
+  isolate,  ///< One crash: run it only while it has all slots for itself.
+  refuse,   ///< Two crashes or more: answer "not run".
+};
+
+/// One suspected request as operators see it.
+struct suspected_request {
+  digest request;
+  std::vector<crash_report> crashes;  ///< Distinct crashes that count, in order of time.
+};
+
+/// Requests that were in flight when targets crashed, merged from all daemons. The result does not
+/// depend on the order of the reports or on repeats.
+///
+/// A request takes down at most two targets, and those that run it at the first crash, once reports
+/// travel faster than resends. Pass the reports back with the failed call and on with each resend
+/// (a `suspicions` message before the `call` on the same link), so that a resend through the same
+/// daemons cannot overtake them.
+class crash_suspicions {
+ public:
+  explicit crash_suspicions(crash_suspicion_limits limits = {}) : limits_(limits) {}
+
+  /// A target was lost with these requests in flight. `crash_id` distinguishes the crashes of the
+  /// instance. Returns the reports to gossip and to attach to the failed calls.
+  std::vector<crash_report> crashed(const std::vector<digest>& in_flight,
+                                    const instance_name& instance, std::uint64_t crash_id,
+                                    wall_time now);
+
+  /// Takes over a report. Returns whether it was new and must be gossiped on.
+  bool merge(const crash_report& report, wall_time now);
+
+  [[nodiscard]] crash_decision decision(const digest& request, wall_time now) const;
+
+  /// Call when an isolated request begins to run; pass the result to `completed_in_isolation`. It
+  /// covers the crashes known now, also those dated by a clock that is ahead, and no later ones.
+  [[nodiscard]] wall_time begin_isolation(const digest& request, wall_time now) const;
+
+  /// The request completed alone on a target: the crashes up to `begun` were not its fault. A crash
+  /// elsewhere in the meantime still counts. Returns the report to gossip; empty if nothing was
+  /// held against the request.
+  std::vector<crash_report> completed_in_isolation(const digest& request, wall_time begun);
+
+  /// Suspected requests, in order of digest.
+  [[nodiscard]] std::vector<suspected_request> list(wall_time now) const;
+
+  /// An operator clears a request. Returns the report to gossip, which names the operator as its
+  /// instance; empty if the request is not suspected.
+  std::vector<crash_report> clear(const digest& request, const std::string& operator_name,
+                                  wall_time now);
+
+  /// Drops what has aged out. Call about once a second.
+  void expire(wall_time now);
+
+  /// Reports in force, for a daemon that has just joined.
+  [[nodiscard]] std::vector<crash_report> all() const;
+
+  [[nodiscard]] std::size_t size() const noexcept { return requests_.size(); }
+  [[nodiscard]] std::uint64_t refused_reports() const noexcept { return refused_reports_; }
+
+ private:
+  /// Instance and crash id: one crash counts once, however often it is reported.
+  using crash = std::pair<instance_name, std::uint64_t>;
+  struct history {
+    std::map<crash, std::int64_t> crashes;  ///< Their times, after the last clearing.
+    crash_report clearing;                  ///< `cleared` is false if there was none.
+  };
+
+  bool apply(const crash_report& report);
+  [[nodiscard]] std::int64_t oldest_counted(wall_time now) const;
+  [[nodiscard]] static std::int64_t latest_crash_of(const history& one);
+  static bool add_crash(history& one, const crash_report& report);
+  static bool add_clearing(history& one, const crash_report& report);
+  void drop_oldest();
+
+  crash_suspicion_limits limits_;
+  std::map<digest, history> requests_;
+  std::uint64_t refused_reports_ = 0;
+};
+
+}  // namespace crocusdoor
