--- /dev/null
+++ b/Source/stand_ins/caller.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "stand_ins/caller_plan.h"
+#include "stand_ins/delayed_actions.h"
+#include "transport/event_loop.h"
+#include "transport/http_client.h"
+
+namespace crocusdoor::stand_ins {
+
+/// What came of the requests of a plan.
+struct caller_account {
+  std::uint64_t sent = 0;      ///< Requests, however often each was sent.
+  std::uint64_t attempts = 0;  ///< Times that a request was sent.
+  std::map<call_result, std::uint64_t> results;
+  std::map<std::string, std::uint64_t> reasons;  ///< Results other than `answered`, by reason.
+  std::vector<duration> latencies;               ///< Of each answered request, all attempts.
+};
+
+/// The account as JSON: sent, attempts, one count for each result, reasons, and percentiles of the
+/// latency in milliseconds.
+[[nodiscard]] json to_json(const caller_account& account);
+
+/// Result of one attempt. A request has not run if the response says so (`Crocusdoor-Verdict:
+/// not_run` or `X-Not-Run: true`) or if it was never written to a connection.
+[[nodiscard]] call_result classify(const prepared_request& sent, const http_result& received);
+
+/// Sends the requests of a plan with bounded concurrency.
+class caller {
+ public:
+  /// The plan must name at least one daemon and one kind of request.
+  caller(event_loop& loop, caller_plan plan, std::function<void(const caller_account&)> done);
+
+  void start();
+
+ private:
+  struct request_state;
+
+  void start_next();
+  void send(const std::shared_ptr<request_state>& request);
+  void send_to(const std::shared_ptr<request_state>& request, http_client& daemon);
+  void receive(const std::shared_ptr<request_state>& request, const http_result& received);
+  void finish(const request_state& request);
+  const planned_request& pick();
+
+  event_loop& loop_;
+  caller_plan plan_;
+  std::function<void(const caller_account&)> done_;
+  random_source random_;
+  delayed_actions delayed_;
+  std::vector<std::unique_ptr<http_client>> daemons_;
+  std::size_t next_daemon_ = 0;
+  std::uint64_t started_ = 0;
+  std::uint64_t finished_ = 0;
+  caller_account account_;
+};
+
+}  // namespace crocusdoor::stand_ins
--- /dev/null
+++ b/Source/stand_ins/control_document.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string>
+
+#include "core/error.h"
+#include "core/record_codec.h"
+
+namespace crocusdoor::stand_ins {
+
+/// Decodes the body of a control request into a record. Unknown keys are faults. Fails with
+/// `error_code::malformed`; the message names every fault.
+template <typename Record>
+[[nodiscard]] leaf::result<Record> parse_control_document(const std::string& text) {
+  const json document = json::parse(text, nullptr, false, true);
+  if (document.is_discarded()) {
+    return leaf::new_error(failure{error_code::malformed, "not a JSON document"});
+  }
+  record_decoder decoder(unknown_keys::refused);
+  Record result;
+  decoder.decode(document, result);
+  std::string message;
+  for (const decode_problem& problem : decoder.problems()) {
+    message += (message.empty() ? "" : "; ") + problem.path + ": " + problem.message;
+  }
+  if (!message.empty()) {
+    return leaf::new_error(failure{error_code::malformed, message});
+  }
+  return result;
+}
+
+}  // namespace crocusdoor::stand_ins
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -99,6 +99,18 @@
   raw_ = nullptr;
 }
 
+void http_exchange::close() {
+  if (answered_ || raw_ == nullptr) {
+    return;
+  }
+  answered_ = true;
+  disconnect_action_ = nullptr;
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  raw_ = nullptr;
+  evhttp_connection_free(connection);
+}
+
 void http_exchange::connection_closed(evhttp_connection*, void* context) {
   auto* exchange = static_cast<http_exchange*>(context);
   exchange->raw_ = nullptr;
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -26,6 +26,9 @@
   [[nodiscard]] bool disconnected() const noexcept { return raw_ == nullptr && !answered_; }
   /// Sends the answer; only the first call has an effect.
   void respond(const http_response& answer);
+  /// Closes the connection without an answer. Not to be called from within the server's handler;
+  /// post it to the loop.
+  void close();
   /// Calls `action` if the client closes its connection before the answer is sent.
   void on_disconnect(std::function<void()> action) { disconnect_action_ = std::move(action); }
 
