--- /dev/null
+++ b/Source/daemon/call_router.cpp
@@ -0,0 +1,163 @@
+#include "daemon/call_router.h"
+
+#include <utility>
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration expiry_interval = std::chrono::milliseconds(10);
+
+}  // namespace
+
+call_router::call_router(const daemon_context& shared, peer_mesh& mesh, local_delivery deliver,
+                         local_cancellation cancel)
+    : shared_(shared),
+      mesh_(mesh),
+      deliver_locally_(std::move(deliver)),
+      cancel_locally_(std::move(cancel)) {
+  message_dispatcher& dispatcher = mesh_.dispatcher();
+  dispatcher.on<wire::call_answer>([this](const auto& from, const wire::call_answer& answer) {
+    if (const auto outcome = pending_.answer(answer, process_of(from))) {
+      finish(*outcome);
+    } else {
+      shared_.counters.count_unmatched_answer();
+    }
+  });
+  dispatcher.on<wire::call_status_answer>([this](const auto& from, const auto& answer) {
+    if (const auto outcome = pending_.status(answer, process_of(from))) {
+      finish(*outcome);
+    }
+  });
+  timer_ = shared_.loop.every(expiry_interval, [this] { expire(); });
+}
+
+peer_process call_router::process_of(const instance_name& name) const {
+  const bool local = name == shared_.options.instance.name;
+  return {name, local ? shared_.incarnation : mesh_.incarnation_of(name)};
+}
+
+wire::request_id call_router::send(const instance_name& to, wire::call request, time_point deadline,
+                                   callback done) {
+  const wire::request_id id = next_id_++;
+  request.id = id;
+  request.sender_incarnation = shared_.incarnation;
+  waiting_call& one = calls_[id];
+  one.to = to;
+  one.done = std::move(done);
+  one.deadline = deadline;
+  if (to == shared_.options.instance.name) {
+    pending_.add(id, process_of(to), deadline, true);
+    shared_.loop.post([this, request = std::move(request)] { deliver_locally_(request); });
+    return id;
+  }
+  one.unsent = std::move(request);
+  if (mesh_.linked(to)) {
+    write(id, one);
+  } else {
+    mesh_.ensure_link(to);
+  }
+  return id;
+}
+
+void call_router::write(wire::request_id id, waiting_call& one) {
+  const bool written = mesh_.send(one.to, *one.unsent);
+  if (written) {
+    one.unsent.reset();
+    pending_.add(id, process_of(one.to), one.deadline, true);
+    return;
+  }
+  const call_outcome outcome{id, process_of(one.to), verdict::not_run, std::nullopt,
+                             "link_unavailable"};
+  shared_.loop.post([this, outcome] { finish(outcome); });
+}
+
+void call_router::cancel(wire::request_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return;
+  }
+  if (found->second.unsent.has_value()) {
+    finish({id, process_of(found->second.to), verdict::not_run, std::nullopt, "cancelled"});
+  } else if (found->second.to == shared_.options.instance.name) {
+    cancel_locally_(id);
+  } else {
+    mesh_.send(found->second.to, wire::call_cancel{id});
+  }
+}
+
+void call_router::local_answer(const wire::call_answer& answer) {
+  if (const auto outcome = pending_.answer(answer, process_of(shared_.options.instance.name))) {
+    finish(*outcome);
+  }
+}
+
+void call_router::finish(const call_outcome& outcome) {
+  const auto found = calls_.find(outcome.id);
+  if (found == calls_.end()) {
+    return;
+  }
+  const callback done = std::move(found->second.done);
+  calls_.erase(found);
+  done(outcome);
+}
+
+void call_router::peer_established(const instance_name& peer) {
+  const auto queries = to_query_.find(peer);
+  if (queries != to_query_.end()) {
+    for (const wire::request_id id : queries->second) {
+      mesh_.send(peer, wire::call_status{id, shared_.incarnation});
+    }
+    to_query_.erase(queries);
+  }
+  for (auto& [id, one] : calls_) {
+    if (one.to == peer && one.unsent.has_value()) {
+      write(id, one);
+    }
+  }
+}
+
+void call_router::peer_lost(const instance_name& peer) {
+  const lost_link_calls lost = pending_.link_lost(peer);
+  for (const call_outcome& outcome : lost.outcomes) {
+    finish(outcome);
+  }
+  if (!lost.to_query.empty()) {
+    to_query_[peer] = lost.to_query;
+    mesh_.ensure_link(peer);
+  }
+}
+
+void call_router::dial_failed(const instance_name& peer) {
+  std::vector<wire::request_id> unsent;
+  for (const auto& [id, one] : calls_) {
+    if (one.to == peer && one.unsent.has_value()) {
+      unsent.push_back(id);
+    }
+  }
+  for (const wire::request_id id : unsent) {
+    finish({id, process_of(peer), verdict::not_run, std::nullopt, "link_unavailable"});
+  }
+}
+
+void call_router::expire() {
+  const time_point now = shared_.loop.now();
+  for (const call_outcome& outcome : pending_.expire(now)) {
+    finish(outcome);
+  }
+  std::vector<wire::request_id> late;
+  for (const auto& [id, one] : calls_) {
+    if (one.unsent.has_value() && one.deadline <= now) {
+      late.push_back(id);
+    }
+  }
+  for (const wire::request_id id : late) {
+    finish({id, process_of(calls_.at(id).to), verdict::not_run, std::nullopt,
+            "the deadline passed before a link was open"});
+  }
+  for (const auto& [peer, ids] : to_query_) {
+    mesh_.ensure_link(peer);
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/call_router.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon_context.h"
+#include "daemon/peer_mesh.h"
+#include "link/pending_calls.h"
+#include "wire/message.h"
+
+namespace crocusdoor {
+
+/// The calling side of the links: carries calls to the daemons beside the chosen targets and brings
+/// each answer to the call it belongs to, over lost links too.
+class call_router {
+ public:
+  using callback = std::function<void(const call_outcome&)>;
+  /// Passes a call to the target beside this daemon.
+  using local_delivery = std::function<void(const wire::call&)>;
+  using local_cancellation = std::function<void(wire::request_id)>;
+
+  call_router(const daemon_context& shared, peer_mesh& mesh, local_delivery deliver,
+              local_cancellation cancel);
+
+  /// Sends a call; its id and sender are filled in. `done` is called exactly once, in a later turn
+  /// of the loop and at the latest after `deadline`.
+  wire::request_id send(const instance_name& to, wire::call request, time_point deadline,
+                        callback done);
+
+  /// Tells the receiver that nobody waits for the answer any more. The callback is still called.
+  void cancel(wire::request_id id);
+
+  /// An answer of the target beside this daemon.
+  void local_answer(const wire::call_answer& answer);
+
+  void peer_established(const instance_name& peer);
+  void peer_lost(const instance_name& peer);
+  void dial_failed(const instance_name& peer);
+
+  /// Calls without an answer.
+  [[nodiscard]] std::size_t waiting() const noexcept { return calls_.size(); }
+
+ private:
+  struct waiting_call {
+    instance_name to;
+    callback done;
+    /// Set while the call waits for a link; the call is then not written yet.
+    std::optional<wire::call> unsent;
+    time_point deadline;
+  };
+
+  void write(wire::request_id id, waiting_call& one);
+  void finish(const call_outcome& outcome);
+  void expire();
+  peer_process process_of(const instance_name& name) const;
+
+  const daemon_context& shared_;
+  peer_mesh& mesh_;
+  local_delivery deliver_locally_;
+  local_cancellation cancel_locally_;
+  pending_calls pending_;
+  std::map<wire::request_id, waiting_call> calls_;
+  std::map<instance_name, std::vector<wire::request_id>> to_query_;
+  wire::request_id next_id_ = 1;
+  timer_handle timer_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/event_log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <glog/logging.h>
+
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace crocusdoor {
+
+/// One key and value of a log line: `key=value`, quoted if the value has spaces, quotes or equals
+/// signs.
+struct log_field {
+  std::string_view key;
+  std::string value;
+};
+
+template <typename T>
+[[nodiscard]] log_field field(std::string_view key, const T& value) {
+  if constexpr (std::is_arithmetic_v<T>) {
+    return {key, std::to_string(value)};
+  } else if constexpr (requires { value.str(); }) {
+    return {key, value.str()};
+  } else {
+    return {key, std::string(value)};
+  }
+}
+
+std::ostream& operator<<(std::ostream& out, const log_field& one);
+
+}  // namespace crocusdoor
+
+/// Writes one event on one line: `LOG_EVENT(INFO, "configuration_adopted") << field("version", 3);`
+#define LOG_EVENT(severity, name) LOG(severity) << "event=" << (name)
--- /dev/null
+++ b/Source/daemon/membership_service.cpp
@@ -0,0 +1,244 @@
+#include "daemon/membership_service.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "daemon/event_log.h"
+#include "membership/topology.h"
+
+namespace crocusdoor {
+
+namespace {
+
+const std::string announcement_kind = "instances";
+
+constexpr duration tick_interval = std::chrono::milliseconds(100);
+/// Mean time between two comparisons of directories with a random neighbour.
+constexpr duration comparison_mean = std::chrono::seconds(10);
+/// Mean time between two searches for peers while none is linked.
+constexpr duration search_mean = std::chrono::milliseconds(500);
+/// Mean time between two attempts to find instances that are held dead, so that a partition that
+/// has healed is noticed.
+constexpr duration healing_mean = std::chrono::seconds(20);
+constexpr duration announcement_retry_mean = std::chrono::seconds(2);
+constexpr std::size_t contacts_per_search = 3;
+/// Instances listed by one search; more than the contacts that a newcomer needs.
+constexpr std::size_t search_page_size = 64;
+
+}  // namespace
+
+membership_service::membership_service(const daemon_context& shared, peer_mesh& mesh,
+                                       platform_client& platform, instance_record self,
+                                       std::function<void()> changed)
+    : shared_(shared),
+      mesh_(mesh),
+      platform_(platform),
+      changed_(std::move(changed)),
+      directory_(std::move(self)) {
+  message_dispatcher& dispatcher = mesh_.dispatcher();
+  dispatcher.on<wire::records>([this](const auto& from, const wire::records& content) {
+    for (const instance_record& record : content.changed) {
+      merge(record, from);
+    }
+  });
+  dispatcher.on<wire::records_request>(
+      [this](const auto& from, const wire::records_request& request) {
+        directory::fingerprints theirs{};
+        std::copy_n(request.fingerprints.begin(),
+                    std::min(request.fingerprints.size(), theirs.size()), theirs.begin());
+        std::vector<instance_record> differing = directory_.differing(theirs);
+        if (!differing.empty()) {
+          mesh_.send(from, wire::records{std::move(differing)});
+        }
+      });
+}
+
+bool membership_service::is_watcher() const {
+  return crocusdoor::is_watcher(directory_);
+}
+
+std::optional<ip_endpoint> membership_service::find_endpoint(const instance_name& name) const {
+  const instance_record* record = directory_.find(name);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  return ip_endpoint{record->address, record->peer_port};
+}
+
+std::map<instance_name, failure_domain> membership_service::peers() const {
+  std::map<instance_name, failure_domain> result;
+  for (const instance_record& record : directory_.live()) {
+    if (record.name != directory_.self().name) {
+      result.emplace(record.name, record.domain);
+    }
+  }
+  return result;
+}
+
+void membership_service::start() {
+  for (const ip_endpoint& seed : shared_.options.peers.seeds) {
+    mesh_.dial(seed);
+  }
+  announce();
+  timer_ = shared_.loop.every(tick_interval, [this] { tick(); });
+}
+
+void membership_service::announce() {
+  if (announced_ || announcing_ || withdrawn_ || shared_.loop.now() < next_announcement_) {
+    return;
+  }
+  announcing_ = true;
+  const instance_record& self = directory_.self();
+  platform_.put(announcement_kind, self.name.str(), encode_value(self).dump(),
+                [this](const platform_result& result) {
+                  announcing_ = false;
+                  announced_ = result.outcome == platform_outcome::ok;
+                  next_announcement_ =
+                      shared_.loop.now() + shared_.random.exponential(announcement_retry_mean);
+                });
+}
+
+void membership_service::withdraw(std::function<void()> done) {
+  withdrawn_ = true;
+  platform_.remove(announcement_kind, directory_.self().name.str(),
+                   [done = std::move(done)](const platform_result&) { done(); });
+}
+
+void membership_service::set_self_state(instance_state state) {
+  if (const auto record = directory_.set_self_state(state, shared_.loop.now())) {
+    note_change(*record, {});
+    gossip();
+  }
+}
+
+void membership_service::peer_established(const instance_name& peer, const wire::hello& greeting) {
+  merge(greeting.self, peer);
+  const auto held = directory_.neighbour_heard(peer, greeting.self.incarnation);
+  if (held.has_value()) {
+    mesh_.send(peer, wire::records{{*held}});
+  }
+  const auto& own = directory_.bucket_fingerprints();
+  mesh_.send(peer, wire::records_request{{own.begin(), own.end()}});
+}
+
+void membership_service::peer_lost(const instance_name& peer) {
+  unlinked_since_[peer] = shared_.loop.now();
+}
+
+void membership_service::merge(const instance_record& record, const instance_name& from) {
+  const bool changed = directory_.merge(record, shared_.loop.now());
+  const instance_record* held = directory_.find(record.name);
+  if (changed && held != nullptr) {
+    note_change(*held, from);
+  }
+}
+
+void membership_service::note_change(const instance_record& record, const instance_name& from) {
+  queue_.push(record, from);
+  LOG_EVENT(INFO, "instance_changed")
+      << field("instance", record.name) << field("state", to_string(record.state));
+}
+
+void membership_service::tick() {
+  const time_point now = shared_.loop.now();
+  for (const instance_record& record : directory_.tick(now)) {
+    note_change(record, {});
+  }
+  review_neighbours();
+  announce();
+  gossip();
+  compare_directories();
+  find_peers();
+}
+
+void membership_service::review_neighbours() {
+  const time_point now = shared_.loop.now();
+  if (directory_.revision() != reviewed_revision_) {
+    reviewed_revision_ = directory_.revision();
+    neighbours_ = control_neighbours(directory_);
+    queue_.set_links(neighbours_);
+    mesh_.set_permanent_peers({neighbours_.begin(), neighbours_.end()});
+    changed_();
+  }
+  for (const instance_name& neighbour : neighbours_) {
+    if (mesh_.linked(neighbour)) {
+      unlinked_since_.erase(neighbour);
+      continue;
+    }
+    const auto [since, added] = unlinked_since_.emplace(neighbour, now);
+    const instance_record* record = directory_.find(neighbour);
+    const bool overdue = now - since->second >
+                         std::chrono::milliseconds(shared_.options.timing.heartbeat_timeout_ms);
+    if (record != nullptr && overdue) {
+      if (const auto suspicion = directory_.neighbour_lost(neighbour, record->incarnation, now)) {
+        note_change(*suspicion, {});
+      }
+    }
+  }
+  std::erase_if(unlinked_since_, [&](const auto& entry) {
+    return std::find(neighbours_.begin(), neighbours_.end(), entry.first) == neighbours_.end();
+  });
+}
+
+void membership_service::gossip() {
+  for (const instance_name& neighbour : neighbours_) {
+    if (!mesh_.linked(neighbour)) {
+      continue;
+    }
+    std::vector<instance_record> batch = queue_.next_batch(neighbour);
+    if (!batch.empty()) {
+      mesh_.send(neighbour, wire::records{std::move(batch)});
+    }
+  }
+}
+
+void membership_service::compare_directories() {
+  const time_point now = shared_.loop.now();
+  if (now < next_comparison_ || neighbours_.empty()) {
+    return;
+  }
+  next_comparison_ = now + shared_.random.exponential(comparison_mean);
+  const instance_name& neighbour = neighbours_[shared_.random.index(neighbours_.size())];
+  const auto& own = directory_.bucket_fingerprints();
+  mesh_.send(neighbour, wire::records_request{{own.begin(), own.end()}});
+}
+
+void membership_service::find_peers() {
+  const time_point now = shared_.loop.now();
+  if (now < next_search_) {
+    return;
+  }
+  const bool alone = mesh_.linked_peers().empty();
+  next_search_ = now + shared_.random.exponential(alone ? search_mean : healing_mean);
+  for (const instance_record& contact : directory_.contacts(contacts_per_search, shared_.random)) {
+    mesh_.dial({contact.address, contact.peer_port});
+    directory_.contact_failed(contact.name);
+  }
+  if (!alone) {
+    return;
+  }
+  for (const ip_endpoint& seed : shared_.options.peers.seeds) {
+    mesh_.dial(seed);
+  }
+  if (listing_ || !budget_.take(directory_.live_count(), now, shared_.random)) {
+    return;
+  }
+  listing_ = true;
+  // Starts at a random place, so that newcomers do not all connect to the same instances.
+  const std::string start = shared_.random.fraction() < 0.5 ? directory_.self().name.str() : "";
+  platform_.list(announcement_kind, "", start, search_page_size,
+                 [this](const platform_listing& listing) {
+                   listing_ = false;
+                   for (const platform_object& object : listing.objects) {
+                     record_decoder decoder(unknown_keys::ignored);
+                     instance_record record;
+                     decoder.decode(json::parse(object.value, nullptr, false), record);
+                     if (decoder.ok()) {
+                       directory_.add_hint(record);
+                     }
+                   }
+                 });
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/membership_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon_context.h"
+#include "daemon/peer_mesh.h"
+#include "membership/directory.h"
+#include "membership/gossip_queue.h"
+#include "membership/platform_budget.h"
+#include "platform/platform_client.h"
+
+namespace crocusdoor {
+
+/// Keeps the directory of instances up to date: announces this instance, finds peers, detects
+/// failures over links and passes changes on.
+class membership_service {
+ public:
+  membership_service(const daemon_context& shared, peer_mesh& mesh, platform_client& platform,
+                     instance_record self, std::function<void()> changed);
+
+  [[nodiscard]] const directory& known() const noexcept { return directory_; }
+  [[nodiscard]] bool is_watcher() const;
+  [[nodiscard]] std::optional<ip_endpoint> find_endpoint(const instance_name& name) const;
+  /// Live or suspected instances other than this one.
+  [[nodiscard]] std::map<instance_name, failure_domain> peers() const;
+
+  /// Announces this instance to the platform and looks for peers.
+  void start();
+  void set_self_state(instance_state state);
+  /// Deletes the announcement of this instance; `done` is called in any case.
+  void withdraw(std::function<void()> done);
+
+  void peer_established(const instance_name& peer, const wire::hello& greeting);
+  void peer_lost(const instance_name& peer);
+  void merge(const instance_record& record, const instance_name& from);
+
+ private:
+  void tick();
+  void gossip();
+  void review_neighbours();
+  void find_peers();
+  void announce();
+  void compare_directories();
+  void note_change(const instance_record& record, const instance_name& from);
+
+  const daemon_context& shared_;
+  peer_mesh& mesh_;
+  platform_client& platform_;
+  std::function<void()> changed_;
+  directory directory_;
+  gossip_queue queue_;
+  platform_budget budget_;
+  std::uint64_t reviewed_revision_ = 0;
+  std::vector<instance_name> neighbours_;
+  bool announced_ = false;
+  bool announcing_ = false;
+  bool listing_ = false;
+  bool withdrawn_ = false;
+  time_point next_announcement_{};
+  time_point next_search_{};
+  time_point next_comparison_{};
+  std::map<instance_name, time_point> unlinked_since_;
+  timer_handle timer_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/mesh_daemon.cpp
@@ -0,0 +1,274 @@
+#include "daemon/mesh_daemon.h"
+
+#include <utility>
+
+#include "daemon/caller_request.h"
+#include "daemon/event_log.h"
+#include "daemon/intent_api.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration review_interval = std::chrono::milliseconds(100);
+/// Time for the last answers to leave before the process ends.
+constexpr duration flush_time = std::chrono::milliseconds(200);
+
+std::uint64_t start_incarnation() {
+  return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
+}
+
+}  // namespace
+
+mesh_daemon::mesh_daemon(event_loop& loop, settings options)
+    : loop_(loop),
+      options_(std::move(options)),
+      random_(stable_hash(options_.instance.name.str(), start_incarnation())),
+      traces_(options_.instance.name.str(), static_cast<std::size_t>(options_.trace.buffer_spans)),
+      shared_{loop_, random_, options_, counters_, traces_, start_incarnation()},
+      platform_(loop_, {options_.platform.address, options_.platform.port},
+                options_.platform.timeout_ms),
+      selector_({options_.instance.name, options_.instance.domain, options_.instance.region}) {
+  mesh_ = std::make_unique<peer_mesh>(
+      loop_, random_,
+      peer_mesh::configuration{options_.instance.name,
+                               {options_.listen.address, options_.listen.peer_port},
+                               options_.timing.heartbeat_interval_ms,
+                               options_.timing.heartbeat_timeout_ms},
+      mesh_handlers());
+  membership_ = std::make_unique<membership_service>(shared_, *mesh_, platform_, make_self(),
+                                                     [this] { directory_changed(); });
+  distributor_ = std::make_unique<configuration_distributor>(
+      shared_, *mesh_, platform_,
+      configuration_distributor::handlers{[this] { return membership_->is_watcher(); },
+                                          [this] { refresh_upstreams(); },
+                                          [this] { return membership_->peers(); }});
+  run_once_ = std::make_unique<run_once_service>(shared_, *mesh_, platform_);
+  target_ = std::make_unique<target_gateway>(shared_, suspicions_, target_handlers());
+  router_ = std::make_unique<call_router>(
+      shared_, *mesh_,
+      [this](const wire::call& request) {
+        target_->receive(options_.instance.name, distributor_->current()->version, request);
+      },
+      [this](wire::request_id id) {
+        target_->cancel(options_.instance.name, shared_.incarnation, id);
+      });
+  caller_services_ = std::make_unique<caller_services>(caller_services{
+      shared_, *router_, *run_once_, selector_, hedges_, retry_budgets_,
+      [this] { return distributor_->current(); }, [this] { return distributor_->ready(); }});
+  caller_server_ = std::make_unique<http_server>(
+      loop_, ip_endpoint{options_.listen.address, options_.listen.caller_port},
+      [this](const std::shared_ptr<http_exchange>& exchange) {
+        std::make_shared<caller_request>(*caller_services_, exchange)->start();
+      });
+  api_ = std::make_unique<intent_api>(*this);
+}
+
+mesh_daemon::~mesh_daemon() = default;
+
+instance_record mesh_daemon::make_self() const {
+  instance_record self;
+  self.name = options_.instance.name;
+  self.incarnation = shared_.incarnation;
+  self.sequence = 1;
+  self.state = instance_state::starting;
+  self.domain = options_.instance.domain;
+  self.region = options_.instance.region;
+  self.service = options_.target.service;
+  self.address = options_.listen.address;
+  self.peer_port = options_.listen.peer_port;
+  self.api_port = options_.listen.api_port;
+  self.slots = options_.target.slots;
+  return self;
+}
+
+peer_mesh::handlers mesh_daemon::mesh_handlers() {
+  peer_mesh::handlers callbacks;
+  callbacks.make_hello = [this](const instance_name& peer) {
+    return wire::hello{membership_->known().self(), distributor_->holder().current_digest(),
+                       distributor_->version_of(peer)};
+  };
+  callbacks.configuration_version = [this] { return distributor_->current()->version; };
+  callbacks.configuration_digest = [this] { return distributor_->holder().current_digest(); };
+  callbacks.find_endpoint = [this](const instance_name& name) {
+    return membership_->find_endpoint(name);
+  };
+  callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
+    membership_->peer_established(peer, greeting);
+    distributor_->peer_established(peer, greeting.self.domain, greeting);
+    router_->peer_established(peer);
+    if (const std::vector<crash_report> held = suspicions_.all(); !held.empty()) {
+      mesh_->send(peer, wire::suspicions{held});
+    }
+  };
+  callbacks.peer_lost = [this](const instance_name& peer, const std::string&) {
+    membership_->peer_lost(peer);
+    router_->peer_lost(peer);
+  };
+  callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
+  callbacks.version_seen = [this](const instance_name& peer, version_number version) {
+    distributor_->version_seen(peer, version);
+  };
+  return callbacks;
+}
+
+target_gateway::handlers mesh_daemon::target_handlers() {
+  target_gateway::handlers callbacks;
+  callbacks.current_snapshot = [this] { return distributor_->current(); };
+  callbacks.catch_up = [this](version_number version, std::function<void(bool)> done) {
+    distributor_->when_caught_up(version, options_.timing.catch_up_limit_ms, std::move(done));
+  };
+  callbacks.send_answer = [this](const instance_name& to, const wire::call_answer& answer) {
+    if (to == options_.instance.name) {
+      router_->local_answer(answer);
+    } else {
+      mesh_->send(to, answer);
+    }
+  };
+  callbacks.complete_claim = [this](const claim& held, verdict outcome, auto answer) {
+    run_once_->complete(held, outcome, std::move(answer));
+  };
+  callbacks.spread_suspicions = [this](const auto& reports) { spread_suspicions(reports); };
+  callbacks.readiness_changed = [this](bool) { review_state(); };
+  return callbacks;
+}
+
+void mesh_daemon::start() {
+  message_dispatcher& dispatcher = mesh_->dispatcher();
+  dispatcher.on<wire::call>([this](const instance_name& from, const wire::call& request) {
+    target_->receive(from, distributor_->version_of(from), request);
+  });
+  dispatcher.on<wire::call_cancel>([this](const instance_name& from, const auto& content) {
+    target_->cancel(from, mesh_->incarnation_of(from), content.id);
+  });
+  dispatcher.on<wire::call_status>([this](const instance_name& from, const auto& query) {
+    mesh_->send(from, target_->status(from, query));
+  });
+  dispatcher.on<wire::suspicions>([this](const instance_name& from, const auto& content) {
+    receive_suspicions(from, content);
+  });
+  review_timer_ = loop_.every(review_interval, [this] { review_state(); });
+  membership_->start();
+  LOG_EVENT(INFO, "started") << field("instance", options_.instance.name)
+                             << field("service", options_.target.service)
+                             << field("caller_port", options_.listen.caller_port)
+                             << field("peer_port", options_.listen.peer_port)
+                             << field("api_port", options_.listen.api_port);
+}
+
+void mesh_daemon::spread_suspicions(const std::vector<crash_report>& reports) {
+  if (!reports.empty()) {
+    mesh_->send_to_all(wire::suspicions{reports});
+  }
+}
+
+void mesh_daemon::receive_suspicions(const instance_name& from, const wire::suspicions& content) {
+  std::vector<crash_report> fresh;
+  for (const crash_report& report : content.reports) {
+    if (suspicions_.merge(report, event_loop::wall_now())) {
+      fresh.push_back(report);
+    }
+  }
+  if (!fresh.empty()) {
+    mesh_->send_to_all(wire::suspicions{fresh}, from);
+  }
+}
+
+void mesh_daemon::directory_changed() {
+  std::vector<instance_name> owners;
+  for (const instance_record& record : membership_->known().live()) {
+    if (record.state != instance_state::draining) {
+      owners.push_back(record.name);
+    }
+  }
+  run_once_->set_live_members(owners);
+  refresh_upstreams();
+}
+
+void mesh_daemon::refresh_upstreams() {
+  const snapshot_pointer current = distributor_->current();
+  const time_point now = loop_.now();
+  std::map<service_name, std::vector<upstream>> next;
+  for (const auto& [name, one] : current->services) {
+    std::vector<upstream>& members = next[name];
+    for (const instance_record& record : membership_->known().ready_upstreams(name)) {
+      members.push_back({record.name, record.domain, record.region, record.slots, now});
+    }
+  }
+  for (auto& [name, members] : next) {
+    // An upstream that stays keeps the time since which it is ready, and with it its ramp.
+    for (upstream& member : members) {
+      for (const upstream& earlier : known_upstreams_[name]) {
+        if (earlier.instance == member.instance) {
+          member.ready_since = earlier.ready_since;
+        }
+      }
+    }
+    const service& description = current->services.at(name);
+    selector_.set_upstreams(name, members, now, {description.connections_per_upstream, 0});
+  }
+  for (const auto& [name, members] : known_upstreams_) {
+    if (!next.contains(name)) {
+      selector_.set_upstreams(name, {}, now);
+    }
+  }
+  known_upstreams_ = std::move(next);
+}
+
+void mesh_daemon::review_state() {
+  suspicions_.expire(event_loop::wall_now());
+  if (draining_) {
+    continue_drain();
+    return;
+  }
+  const bool ready = distributor_->ready() && target_->target_ready();
+  membership_->set_self_state(ready ? instance_state::ready : instance_state::starting);
+}
+
+void mesh_daemon::begin_drain() {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drain_deadline_ = loop_.now() + options_.timing.drain_limit_ms;
+  target_->begin_drain();
+  membership_->set_self_state(instance_state::draining);
+  LOG_EVENT(INFO, "drain_started") << field("instance", options_.instance.name);
+}
+
+void mesh_daemon::continue_drain() {
+  const bool idle =
+      target_->drained() && router_->waiting() == 0 && run_once_->unrecorded_completions() == 0;
+  if (stopped_ || (!idle && loop_.now() < drain_deadline_)) {
+    return;
+  }
+  stopped_ = true;
+  LOG_EVENT(INFO, "drain_finished") << field("idle", idle ? "true" : "false");
+  membership_->set_self_state(instance_state::left);
+  membership_->withdraw([this] { stop(); });
+}
+
+void mesh_daemon::stop() {
+  review_timer_ = loop_.after(flush_time, [this] { loop_.stop(); });
+}
+
+std::string mesh_daemon::render_metrics() {
+  counters_.live_instances().Set(static_cast<double>(membership_->known().live_count()));
+  counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
+  counters_.platform_reachable().Set(platform_.reachable() ? 1 : 0);
+  counters_.total("crocusdoor_peer_bytes_sent_total", "Bytes sent to other daemons")
+      .Set(static_cast<double>(mesh_->bytes_sent()));
+  counters_.total("crocusdoor_peer_bytes_received_total", "Bytes received from other daemons")
+      .Set(static_cast<double>(mesh_->bytes_received()));
+  counters_.total("crocusdoor_refused_messages_total", "Messages that were not valid")
+      .Set(static_cast<double>(mesh_->refused_messages()));
+  counters_.total("crocusdoor_platform_reads_total", "Read calls of the platform")
+      .Set(static_cast<double>(platform_.reads()));
+  counters_.total("crocusdoor_platform_writes_total", "Write calls of the platform")
+      .Set(static_cast<double>(platform_.writes()));
+  counters_.total("crocusdoor_platform_watches_total", "Watch calls of the platform")
+      .Set(static_cast<double>(platform_.watches()));
+  return counters_.render();
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/metrics.cpp
@@ -0,0 +1,96 @@
+#include "daemon/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace crocusdoor {
+
+namespace {
+
+prometheus::Counter* make_counter(prometheus::Registry& registry, const std::string& name,
+                                  const std::string& help) {
+  return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge* make_gauge(prometheus::Registry& registry, const std::string& name,
+                              const std::string& help) {
+  return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Family<prometheus::Counter>* make_family(prometheus::Registry& registry,
+                                                     const std::string& name,
+                                                     const std::string& help) {
+  return &prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+const prometheus::Histogram::BucketBoundaries latency_boundaries_s = {
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0};
+
+}  // namespace
+
+metrics::metrics()
+    : caller_requests_(make_family(registry_, "crocusdoor_caller_requests_total",
+                                   "Requests of callers that this instance answered")),
+      caller_latency_(&prometheus::BuildHistogram()
+                           .Name("crocusdoor_caller_request_duration_seconds")
+                           .Help("Time from a caller's request to its answer")
+                           .Register(registry_)),
+      refusals_(make_family(registry_, "crocusdoor_refusals_total",
+                            "Requests refused as not run by the target side")),
+      claims_(make_family(registry_, "crocusdoor_claims_total",
+                          "Claim requests of run-once actions by decision")),
+      adoptions_(make_family(registry_, "crocusdoor_configuration_offers_total",
+                             "Configuration versions offered to this instance by result")),
+      retries_(make_counter(registry_, "crocusdoor_retries_total", "Calls sent again")),
+      hedges_(make_counter(registry_, "crocusdoor_hedges_total", "Second copies of slow calls")),
+      unmatched_answers_(make_counter(registry_, "crocusdoor_unmatched_answers_total",
+                                      "Answers that belong to no waiting call")),
+      configuration_version_(make_gauge(registry_, "crocusdoor_configuration_version",
+                                        "Configuration version in use")),
+      slots_in_use_(
+          make_gauge(registry_, "crocusdoor_slots_in_use", "Requests running at the target")),
+      queue_length_(
+          make_gauge(registry_, "crocusdoor_queue_length", "Requests waiting for a slot")),
+      live_instances_(
+          make_gauge(registry_, "crocusdoor_live_instances", "Instances known to be alive")),
+      linked_peers_(make_gauge(registry_, "crocusdoor_linked_peers", "Instances with a link")),
+      platform_reachable_(make_gauge(registry_, "crocusdoor_platform_reachable",
+                                     "1 if the latest call of the platform was answered")) {}
+
+void metrics::count_caller_request(const std::string& service, verdict outcome, int status) {
+  caller_requests_
+      ->Add({{"service", service},
+             {"verdict", std::string(to_string(outcome))},
+             {"status", std::to_string(status)}})
+      .Increment();
+}
+
+void metrics::observe_caller_latency(const std::string& service, duration latency) {
+  caller_latency_->Add({{"service", service}}, latency_boundaries_s)
+      .Observe(std::chrono::duration<double>(latency).count());
+}
+
+void metrics::count_refusal(const std::string& reason) {
+  refusals_->Add({{"reason", reason}}).Increment();
+}
+
+void metrics::count_claim(const std::string& decision) {
+  claims_->Add({{"decision", decision}}).Increment();
+}
+
+void metrics::count_adoption(const std::string& result) {
+  adoptions_->Add({{"result", result}}).Increment();
+}
+
+prometheus::Gauge& metrics::total(const std::string& name, const std::string& help) {
+  prometheus::Gauge*& gauge = totals_[name];
+  if (gauge == nullptr) {
+    gauge = make_gauge(registry_, name, help);
+  }
+  return *gauge;
+}
+
+std::string metrics::render() const {
+  return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/metrics.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+
+#include "core/time.h"
+#include "core/verdict.h"
+
+namespace crocusdoor {
+
+/// Metrics of one daemon in Prometheus text format.
+class metrics {
+ public:
+  metrics();
+
+  void count_caller_request(const std::string& service, verdict outcome, int status);
+  void observe_caller_latency(const std::string& service, duration latency);
+  void count_refusal(const std::string& reason);
+  void count_retry() { retries_->Increment(); }
+  void count_hedge() { hedges_->Increment(); }
+  void count_claim(const std::string& decision);
+  void count_unmatched_answer() { unmatched_answers_->Increment(); }
+  void count_adoption(const std::string& result);
+
+  prometheus::Gauge& configuration_version() { return *configuration_version_; }
+  prometheus::Gauge& slots_in_use() { return *slots_in_use_; }
+  prometheus::Gauge& queue_length() { return *queue_length_; }
+  prometheus::Gauge& live_instances() { return *live_instances_; }
+  prometheus::Gauge& linked_peers() { return *linked_peers_; }
+  prometheus::Gauge& platform_reachable() { return *platform_reachable_; }
+  /// Totals that other objects count are exported as they stand at the time of the scrape.
+  prometheus::Gauge& total(const std::string& name, const std::string& help);
+
+  [[nodiscard]] std::string render() const;
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>* caller_requests_;
+  prometheus::Family<prometheus::Histogram>* caller_latency_;
+  prometheus::Family<prometheus::Counter>* refusals_;
+  prometheus::Family<prometheus::Counter>* claims_;
+  prometheus::Family<prometheus::Counter>* adoptions_;
+  prometheus::Counter* retries_;
+  prometheus::Counter* hedges_;
+  prometheus::Counter* unmatched_answers_;
+  prometheus::Gauge* configuration_version_;
+  prometheus::Gauge* slots_in_use_;
+  prometheus::Gauge* queue_length_;
+  prometheus::Gauge* live_instances_;
+  prometheus::Gauge* linked_peers_;
+  prometheus::Gauge* platform_reachable_;
+  std::map<std::string, prometheus::Gauge*> totals_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/peer_mesh.cpp
@@ -0,0 +1,222 @@
+#include "daemon/peer_mesh.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "daemon/event_log.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration maintenance_interval = std::chrono::milliseconds(200);
+constexpr duration first_retry_delay = std::chrono::milliseconds(200);
+constexpr duration longest_retry_delay = std::chrono::seconds(5);
+constexpr int doubling_limit = 6;
+
+}  // namespace
+
+peer_mesh::peer_mesh(event_loop& loop, random_source& random, configuration settings,
+                     handlers callbacks)
+    : loop_(loop),
+      random_(random),
+      settings_(std::move(settings)),
+      callbacks_(std::move(callbacks)) {
+  context_ = std::make_shared<const peer_session::context>(peer_session::context{
+      loop_, settings_.heartbeat_interval, settings_.heartbeat_timeout, callbacks_.make_hello,
+      [this](wire::message content) {
+        return wire::envelope{callbacks_.configuration_version(), std::move(content)};
+      },
+      callbacks_.configuration_digest,
+      [this](const auto& session, const wire::hello& greeting) {
+        session_established(session, greeting);
+      },
+      [this](const auto& session, const wire::envelope& value) {
+        callbacks_.version_seen(session->peer(), value.configuration_version);
+        dispatcher_.dispatch(session->peer(), value.content);
+      },
+      [this](const auto& session, const std::string& reason) { session_ended(session, reason); }});
+  listener_ = std::make_unique<peer_listener>(
+      loop_, settings_.listen,
+      [this](std::intptr_t descriptor) { connection_accepted(descriptor); });
+  maintenance_ = loop_.every(maintenance_interval, [this] { maintain_permanent_links(); });
+}
+
+void peer_mesh::connection_accepted(std::intptr_t descriptor) {
+  anonymous_.insert(peer_session::accept(context_, descriptor));
+}
+
+void peer_mesh::dial(const ip_endpoint& remote) {
+  anonymous_.insert(peer_session::connect(context_, remote, instance_name()));
+}
+
+void peer_mesh::ensure_link(const instance_name& peer) {
+  const bool needless =
+      shut_down_ || peer == settings_.self || linked(peer) || dialling_.contains(peer);
+  if (needless) {
+    return;
+  }
+  const auto endpoint = callbacks_.find_endpoint(peer);
+  if (endpoint.has_value()) {
+    dialling_[peer] = peer_session::connect(context_, *endpoint, peer);
+  }
+}
+
+void peer_mesh::set_permanent_peers(std::set<instance_name> peers) {
+  permanent_ = std::move(peers);
+  maintain_permanent_links();
+}
+
+void peer_mesh::maintain_permanent_links() {
+  const time_point now = loop_.now();
+  for (const instance_name& peer : permanent_) {
+    const auto due = next_attempt_.find(peer);
+    if (due == next_attempt_.end() || due->second <= now) {
+      ensure_link(peer);
+    }
+  }
+}
+
+std::shared_ptr<peer_session> peer_mesh::best_session(const instance_name& peer) const {
+  const auto found = sessions_.find(peer);
+  if (found == sessions_.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<peer_session> best;
+  for (const auto& session : found->second) {
+    const bool better = best == nullptr || session->silence() < best->silence();
+    if (session->link()->is_open() && better) {
+      best = session;
+    }
+  }
+  return best;
+}
+
+bool peer_mesh::send(const instance_name& peer, const wire::message& content) {
+  const std::shared_ptr<peer_session> session = best_session(peer);
+  return session != nullptr && session->send(content);
+}
+
+void peer_mesh::send_to_all(const wire::message& content, const instance_name& except) {
+  for (const instance_name& peer : linked_peers()) {
+    if (peer != except) {
+      send(peer, content);
+    }
+  }
+}
+
+void peer_mesh::announce_version() {
+  for (const instance_name& peer : linked_peers()) {
+    if (const auto session = best_session(peer)) {
+      session->announce_version();
+    }
+  }
+}
+
+bool peer_mesh::linked(const instance_name& peer) const {
+  return best_session(peer) != nullptr;
+}
+
+std::uint64_t peer_mesh::incarnation_of(const instance_name& peer) const {
+  const auto found = incarnations_.find(peer);
+  return found == incarnations_.end() ? 0 : found->second;
+}
+
+std::vector<instance_name> peer_mesh::linked_peers() const {
+  std::vector<instance_name> peers;
+  peers.reserve(sessions_.size());
+  for (const auto& [peer, list] : sessions_) {
+    peers.push_back(peer);
+  }
+  return peers;
+}
+
+void peer_mesh::session_established(const std::shared_ptr<peer_session>& session,
+                                    const wire::hello& greeting) {
+  const instance_name peer = session->peer();
+  anonymous_.erase(session);
+  const auto dialled = dialling_.find(peer);
+  if (dialled != dialling_.end() && dialled->second == session) {
+    dialling_.erase(dialled);
+  }
+  if (peer == settings_.self) {
+    session->close("connected to itself");
+    return;
+  }
+  sessions_[peer].push_back(session);
+  incarnations_[peer] = greeting.self.incarnation;
+  failed_attempts_.erase(peer);
+  next_attempt_.erase(peer);
+  LOG_EVENT(INFO, "peer_linked") << field("peer", peer);
+  callbacks_.peer_established(peer, greeting);
+}
+
+void peer_mesh::session_ended(const std::shared_ptr<peer_session>& session,
+                              const std::string& reason) {
+  closed_bytes_sent_ += session->link()->bytes_sent();
+  closed_bytes_received_ += session->link()->bytes_received();
+  closed_refused_messages_ += session->link()->refused_messages();
+  anonymous_.erase(session);
+  const instance_name peer = session->peer();
+  const auto dialled = dialling_.find(peer);
+  if (dialled != dialling_.end() && dialled->second == session) {
+    dialling_.erase(dialled);
+    const int failures = std::min(++failed_attempts_[peer], doubling_limit);
+    const duration ceiling = std::min(first_retry_delay * (1 << failures), longest_retry_delay);
+    next_attempt_[peer] = loop_.now() + random_.up_to(ceiling);
+    callbacks_.dial_failed(peer);
+  }
+  const auto found = sessions_.find(peer);
+  if (found == sessions_.end()) {
+    return;
+  }
+  std::erase(found->second, session);
+  if (found->second.empty()) {
+    sessions_.erase(found);
+    LOG_EVENT(INFO, "peer_lost") << field("peer", peer) << field("reason", reason);
+    callbacks_.peer_lost(peer, reason);
+  }
+}
+
+std::uint64_t peer_mesh::bytes_sent() const {
+  std::uint64_t total = closed_bytes_sent_;
+  for (const auto& [peer, list] : sessions_) {
+    for (const auto& session : list) {
+      total += session->link()->bytes_sent();
+    }
+  }
+  return total;
+}
+
+std::uint64_t peer_mesh::bytes_received() const {
+  std::uint64_t total = closed_bytes_received_;
+  for (const auto& [peer, list] : sessions_) {
+    for (const auto& session : list) {
+      total += session->link()->bytes_received();
+    }
+  }
+  return total;
+}
+
+std::uint64_t peer_mesh::refused_messages() const {
+  std::uint64_t total = closed_refused_messages_;
+  for (const auto& [peer, list] : sessions_) {
+    for (const auto& session : list) {
+      total += session->link()->refused_messages();
+    }
+  }
+  return total;
+}
+
+void peer_mesh::shut_down() {
+  shut_down_ = true;
+  maintenance_ = nullptr;
+  listener_ = nullptr;
+  for (const auto& [peer, list] : sessions_) {
+    for (const auto& session : list) {
+      session->close("shutting down");
+    }
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/peer_mesh.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/random_source.h"
+#include "daemon/message_dispatcher.h"
+#include "daemon/peer_session.h"
+#include "transport/event_loop.h"
+#include "transport/peer_listener.h"
+
+namespace crocusdoor {
+
+/// All links of this daemon to other daemons. A peer may be reached over several sessions at the
+/// same time, when both ends connect at once or one has gone silent; messages take the one that was
+/// heard most recently.
+class peer_mesh {
+ public:
+  struct configuration {
+    instance_name self;
+    ip_endpoint listen;
+    duration heartbeat_interval{};
+    duration heartbeat_timeout{};
+  };
+
+  struct handlers {
+    std::function<wire::hello(const instance_name& peer)> make_hello;
+    std::function<version_number()> configuration_version;
+    std::function<digest()> configuration_digest;
+    /// Endpoint of an instance, or nothing if it is not known.
+    std::function<std::optional<ip_endpoint>(const instance_name&)> find_endpoint;
+    std::function<void(const instance_name&, const wire::hello&)> peer_established;
+    /// The last session to a peer has ended.
+    std::function<void(const instance_name&, const std::string& reason)> peer_lost;
+    /// An attempt to open a link to an instance has failed.
+    std::function<void(const instance_name&)> dial_failed;
+    /// Called for each message before it is dispatched.
+    std::function<void(const instance_name&, version_number)> version_seen;
+  };
+
+  peer_mesh(event_loop& loop, random_source& random, configuration settings, handlers callbacks);
+
+  [[nodiscard]] message_dispatcher& dispatcher() noexcept { return dispatcher_; }
+
+  /// Opens a link to an endpoint whose instance is not known yet.
+  void dial(const ip_endpoint& remote);
+  /// Opens a link to an instance unless one is open or being opened.
+  void ensure_link(const instance_name& peer);
+  /// Keeps links to exactly these instances open, with back-off between attempts.
+  void set_permanent_peers(std::set<instance_name> peers);
+
+  /// Sends over an open link; false if there is none. The message was then not written.
+  bool send(const instance_name& peer, const wire::message& content);
+  /// Sends to every linked peer but one.
+  void send_to_all(const wire::message& content, const instance_name& except = {});
+  void announce_version();
+
+  [[nodiscard]] bool linked(const instance_name& peer) const;
+  /// Incarnation of the process at the other end, as of its latest `hello`; 0 if there was none.
+  [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const;
+  [[nodiscard]] std::vector<instance_name> linked_peers() const;
+  [[nodiscard]] std::uint64_t bytes_sent() const;
+  [[nodiscard]] std::uint64_t bytes_received() const;
+  [[nodiscard]] std::uint64_t refused_messages() const;
+
+  /// Closes all links and accepts no new ones.
+  void shut_down();
+
+ private:
+  using session_list = std::vector<std::shared_ptr<peer_session>>;
+
+  std::shared_ptr<peer_session> best_session(const instance_name& peer) const;
+  void connection_accepted(std::intptr_t descriptor);
+  void session_established(const std::shared_ptr<peer_session>& session,
+                           const wire::hello& greeting);
+  void session_ended(const std::shared_ptr<peer_session>& session, const std::string& reason);
+  void maintain_permanent_links();
+
+  event_loop& loop_;
+  random_source& random_;
+  configuration settings_;
+  handlers callbacks_;
+  message_dispatcher dispatcher_;
+  std::shared_ptr<const peer_session::context> context_;
+  std::map<instance_name, session_list> sessions_;
+  std::map<instance_name, std::shared_ptr<peer_session>> dialling_;
+  std::set<std::shared_ptr<peer_session>> anonymous_;
+  std::set<instance_name> permanent_;
+  std::map<instance_name, std::uint64_t> incarnations_;
+  std::map<instance_name, time_point> next_attempt_;
+  std::map<instance_name, int> failed_attempts_;
+  timer_handle maintenance_;
+  std::unique_ptr<peer_listener> listener_;
+  std::uint64_t closed_bytes_sent_ = 0;
+  std::uint64_t closed_bytes_received_ = 0;
+  std::uint64_t closed_refused_messages_ = 0;
+  bool shut_down_ = false;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/peer_session.cpp
@@ -0,0 +1,103 @@
+#include "daemon/peer_session.h"
+
+#include <utility>
+
+namespace crocusdoor {
+
+std::shared_ptr<peer_session> peer_session::connect(const std::shared_ptr<const context>& shared,
+                                                    const ip_endpoint& remote,
+                                                    const instance_name& expected) {
+  std::shared_ptr<peer_session> session(new peer_session(shared));
+  session->peer_ = expected;
+  session->heard_at_ = shared->loop.now();
+  session->link_ = peer_link::connect(shared->loop, remote, session->make_handlers());
+  return session;
+}
+
+std::shared_ptr<peer_session> peer_session::accept(const std::shared_ptr<const context>& shared,
+                                                   std::intptr_t descriptor) {
+  std::shared_ptr<peer_session> session(new peer_session(shared));
+  session->heard_at_ = shared->loop.now();
+  session->link_ = peer_link::accept(shared->loop, descriptor, session->make_handlers());
+  return session;
+}
+
+peer_link::handlers peer_session::make_handlers() {
+  // The link owns these handlers, and with them the session, until it has closed.
+  const std::shared_ptr<peer_session> self = shared_from_this();
+  return {[self](peer_link&) { self->link_opened(); },
+          [self](peer_link&, const wire::envelope& value) { self->message_received(value); },
+          [self](peer_link&, const std::string& reason) { self->link_closed(reason); }};
+}
+
+duration peer_session::silence() const {
+  return shared_->loop.now() - heard_at_;
+}
+
+bool peer_session::send(wire::message content) {
+  return link_->send(shared_->wrap(std::move(content)));
+}
+
+void peer_session::close(const std::string& reason) {
+  link_->close(reason);
+}
+
+void peer_session::announce_version() {
+  send(wire::heartbeat{++heartbeat_sequence_, shared_->configuration_digest()});
+}
+
+void peer_session::link_opened() {
+  heard_at_ = shared_->loop.now();
+  send(shared_->make_hello(peer_));
+  std::weak_ptr<peer_session> weak = weak_from_this();
+  heartbeat_timer_ = shared_->loop.every(shared_->heartbeat_interval, [weak] {
+    if (const auto session = weak.lock()) {
+      session->check_heartbeat();
+    }
+  });
+}
+
+void peer_session::check_heartbeat() {
+  if (silence() > shared_->heartbeat_timeout) {
+    close("heartbeat timed out");
+    return;
+  }
+  announce_version();
+}
+
+void peer_session::message_received(const wire::envelope& value) {
+  heard_at_ = shared_->loop.now();
+  if (const auto* greeting = std::get_if<wire::hello>(&value.content)) {
+    accept_hello(value, *greeting);
+    return;
+  }
+  if (!established_) {
+    close("message before hello");
+    return;
+  }
+  if (const auto* beat = std::get_if<wire::heartbeat>(&value.content)) {
+    send(wire::heartbeat_answer{beat->sequence, shared_->configuration_digest()});
+  }
+  shared_->received(shared_from_this(), value);
+}
+
+void peer_session::accept_hello(const wire::envelope& value, const wire::hello& greeting) {
+  if (!peer_.empty() && peer_ != greeting.self.name) {
+    close("expected instance " + peer_.str() + ", found " + greeting.self.name.str());
+    return;
+  }
+  peer_ = greeting.self.name;
+  const bool first = !established_;
+  established_ = true;
+  shared_->received(shared_from_this(), value);
+  if (first) {
+    shared_->established(shared_from_this(), greeting);
+  }
+}
+
+void peer_session::link_closed(const std::string& reason) {
+  heartbeat_timer_ = nullptr;
+  shared_->ended(shared_from_this(), reason);
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/peer_session.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "membership/instance_record.h"
+#include "transport/event_loop.h"
+#include "transport/peer_link.h"
+#include "wire/message.h"
+
+namespace crocusdoor {
+
+/// One link to another daemon after the exchange of `hello` messages, with its heartbeats. A
+/// session keeps itself alive through its link.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+ public:
+  struct context {
+    event_loop& loop;
+    duration heartbeat_interval;
+    duration heartbeat_timeout;
+    std::function<wire::hello(const instance_name& peer)> make_hello;
+    std::function<wire::envelope(wire::message)> wrap;
+    std::function<digest()> configuration_digest;
+    std::function<void(const std::shared_ptr<peer_session>&, const wire::hello&)> established;
+    std::function<void(const std::shared_ptr<peer_session>&, const wire::envelope&)> received;
+    std::function<void(const std::shared_ptr<peer_session>&, const std::string& reason)> ended;
+  };
+
+  [[nodiscard]] static std::shared_ptr<peer_session> connect(
+      const std::shared_ptr<const context>& shared, const ip_endpoint& remote,
+      const instance_name& expected);
+  [[nodiscard]] static std::shared_ptr<peer_session> accept(
+      const std::shared_ptr<const context>& shared, std::intptr_t descriptor);
+
+  /// Name of the other daemon; empty before its `hello` has arrived, unless it was dialled by name.
+  [[nodiscard]] const instance_name& peer() const noexcept { return peer_; }
+  [[nodiscard]] bool established() const noexcept { return established_; }
+  [[nodiscard]] const std::shared_ptr<peer_link>& link() const noexcept { return link_; }
+  /// Time since anything arrived from the other end.
+  [[nodiscard]] duration silence() const;
+
+  bool send(wire::message content);
+  void close(const std::string& reason);
+  /// Sends a heartbeat now, so that the other end learns the current version at once.
+  void announce_version();
+
+ private:
+  explicit peer_session(std::shared_ptr<const context> shared) : shared_(std::move(shared)) {}
+
+  peer_link::handlers make_handlers();
+  void link_opened();
+  void message_received(const wire::envelope& value);
+  void accept_hello(const wire::envelope& value, const wire::hello& greeting);
+  void check_heartbeat();
+  void link_closed(const std::string& reason);
+
+  std::shared_ptr<const context> shared_;
+  std::shared_ptr<peer_link> link_;
+  instance_name peer_;
+  bool established_ = false;
+  std::uint64_t heartbeat_sequence_ = 0;
+  time_point heard_at_{};
+  timer_handle heartbeat_timer_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/run_once_service.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "daemon/daemon_context.h"
+#include "daemon/peer_mesh.h"
+#include "platform/platform_client.h"
+#include "run_once/claim_service.h"
+
+namespace crocusdoor {
+
+/// Claims of run-once actions, on both sides: asks the owner of a shard, wherever it is, and
+/// carries out the platform operations of the shards that this instance owns.
+class run_once_service {
+ public:
+  using claim_callback = std::function<void(const claim_reply&)>;
+  using resolution_callback = std::function<void(bool resolved, const std::string& reason)>;
+
+  run_once_service(const daemon_context& shared, peer_mesh& mesh, platform_client& platform);
+
+  /// Assigns the shards to the live members, this instance included.
+  void set_live_members(const std::vector<instance_name>& live);
+
+  /// Asks for a claim. `done` is called exactly once, at the latest when the claim would expire.
+  void request_claim(const claim_parameters& parameters, claim_callback done);
+
+  /// Reports what became of a claim, and repeats the report until the owner has recorded it.
+  void complete(const claim& held, verdict outcome, std::optional<recorded_answer> answer);
+
+  /// Settles an operation in doubt whose shard this instance owns.
+  void resolve(const operation_key& operation, const operation_resolution& resolution,
+               resolution_callback done);
+
+  [[nodiscard]] std::optional<instance_name> owner_of(const operation_key& operation) const {
+    return claims_.owner_of(operation);
+  }
+  [[nodiscard]] const claim_service& claims() const noexcept { return claims_; }
+  /// Completions that no owner has recorded yet.
+  [[nodiscard]] std::size_t unrecorded_completions() const noexcept { return completions_.size(); }
+
+ private:
+  struct pending_request {
+    claim_callback done;
+    instance_name owner;
+    timer_handle timeout;
+  };
+  struct pending_completion {
+    claim held;
+    verdict outcome = verdict::may_have_run;
+    std::optional<recorded_answer> answer;
+    time_point next_attempt;
+    duration pause{};
+  };
+
+  clock_reading read_clock() const;
+  void apply(const shard_effects& effects);
+  void apply_one(const create_object& effect);
+  void read_existing(const std::string& name);
+  void apply_one(const read_object& effect);
+  void apply_one(const write_object& effect);
+  void apply_one(const delete_objects& effect);
+  void apply_one(const answer_claim& effect);
+  void apply_one(const answer_completion& effect);
+  void apply_one(const answer_resolution& effect);
+
+  void receive_claim_request(const instance_name& from, const wire::claim_request& request);
+  void receive_claim_answer(const wire::claim_answer& answer);
+  void receive_completion(const instance_name& from, const wire::claim_complete& completion);
+  void receive_completion_answer(const wire::claim_complete_answer& answer);
+  void completion_answered(wire::request_id id, bool recorded, bool final);
+  void send_completion(wire::request_id id, pending_completion& one);
+  void request_timed_out(wire::request_id id, const claim_parameters& parameters);
+  void tick();
+
+  const daemon_context& shared_;
+  peer_mesh& mesh_;
+  platform_client& platform_;
+  claim_service claims_;
+  ticket_number next_ticket_ = 1;
+  wire::request_id next_request_ = 1;
+  std::map<ticket_number, std::function<void(const claim_reply&)>> claim_tickets_;
+  std::map<ticket_number, std::function<void(const answer_completion&)>> completion_tickets_;
+  std::map<ticket_number, resolution_callback> resolution_tickets_;
+  std::map<wire::request_id, pending_request> requests_;
+  std::map<wire::request_id, pending_completion> completions_;
+  timer_handle timer_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/target_client.cpp
@@ -0,0 +1,103 @@
+#include "daemon/target_client.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration probe_timeout = std::chrono::milliseconds(500);
+
+/// Headers that concern one connection and are not passed on.
+constexpr std::array<std::string_view, 6> connection_headers = {
+    "Connection", "Content-Length", "Host", "Keep-Alive", "Transfer-Encoding", "Upgrade"};
+
+bool is_connection_header(const std::string& name) {
+  const header_name_less less;
+  return std::any_of(connection_headers.begin(), connection_headers.end(), [&](auto one) {
+    const std::string text(one);
+    return !less(text, name) && !less(name, text);
+  });
+}
+
+/// Whether the target says that it has not run the request, by the header of its contract.
+bool says_not_run(const http_response& response) {
+  const auto found = response.headers.find("X-Not-Run");
+  return response.status >= 500 && found != response.headers.end() && found->second == "true";
+}
+
+wire::call_answer answer_of(const http_result& result) {
+  wire::call_answer answer;
+  switch (result.outcome) {
+    case http_outcome::not_sent:
+      answer.outcome = verdict::not_run;
+      answer.reason = "target_unreachable";
+      return answer;
+    case http_outcome::interrupted:
+      answer.outcome = verdict::may_have_run;
+      answer.reason = "target_connection_lost";
+      return answer;
+    case http_outcome::timed_out:
+      answer.outcome = verdict::may_have_run;
+      answer.reason = "target_timed_out";
+      return answer;
+    case http_outcome::answered:
+      break;
+  }
+  if (says_not_run(result.response)) {
+    answer.outcome = verdict::not_run;
+    answer.reason = "target_refused";
+    return answer;
+  }
+  answer.outcome = verdict::ran;
+  answer.status = result.response.status;
+  for (const auto& [name, value] : result.response.headers) {
+    if (!is_connection_header(name)) {
+      answer.headers[name] = value;
+    }
+  }
+  answer.body.bytes = result.response.body;
+  return answer;
+}
+
+}  // namespace
+
+target_client::target_client(const daemon_context& shared)
+    : shared_(shared),
+      client_(shared.loop, {shared.options.target.address, shared.options.target.port},
+              static_cast<std::size_t>(shared.options.target.connections)),
+      prober_(shared.loop, {shared.options.target.address, shared.options.target.port}, 1) {}
+
+http_call target_client::send(const wire::call& request, time_point deadline, callback done) {
+  http_request outgoing;
+  outgoing.method = request.method;
+  outgoing.target = request.path;
+  outgoing.body = request.body.bytes;
+  for (const auto& [name, value] : request.headers) {
+    if (!is_connection_header(name)) {
+      outgoing.headers[name] = value;
+    }
+  }
+  const duration left = deadline - shared_.loop.now();
+  const wall_time wall_deadline =
+      event_loop::wall_now() + std::chrono::duration_cast<std::chrono::milliseconds>(left);
+  outgoing.headers["X-Request-Deadline-Ms"] =
+      std::to_string(wall_deadline.time_since_epoch().count());
+  outgoing.headers["traceparent"] = request.traceparent;
+  return client_.send(std::move(outgoing), left,
+                      [done = std::move(done)](const http_result& result) {
+                        done(answer_of(result), result.outcome == http_outcome::interrupted);
+                      });
+}
+
+void target_client::probe(std::function<void(bool)> done) {
+  prober_.send({"GET", shared_.options.target.health_path, {}, {}}, probe_timeout,
+               [done = std::move(done)](const http_result& result) {
+                 done(result.outcome == http_outcome::answered && result.response.status < 400);
+               });
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/daemon/trace_recorder.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/random_source.h"
+#include "core/record_codec.h"
+#include "core/trace_context.h"
+
+namespace crocusdoor {
+
+/// One finished hop of a request.
+struct trace_span {
+  trace_context context;
+  std::string parent_span_id;  ///< Empty for the root of a trace.
+  std::string name;
+  std::int64_t started_at_us = 0;  ///< Wall time in microseconds since the Unix epoch.
+  std::int64_t duration_us = 0;
+  std::map<std::string, std::string> tags;
+};
+
+/// Keeps the latest spans in memory, for the API to return in Zipkin v2 JSON. The daemon has no
+/// disk, and a span that is not fetched in time is dropped.
+class trace_recorder {
+ public:
+  trace_recorder(std::string instance, std::size_t span_limit)
+      : instance_(std::move(instance)), span_limit_(span_limit) {}
+
+  void record(trace_span span);
+  [[nodiscard]] json to_zipkin() const;
+
+ private:
+  std::string instance_;
+  std::size_t span_limit_;
+  std::deque<trace_span> spans_;
+};
+
+}  // namespace crocusdoor
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -56,8 +56,10 @@
   friend bool operator==(const records&, const records&) = default;
 };
 
-/// Asks a peer for its whole directory.
+/// Asks a peer for the records in which its directory differs.
 struct records_request {
+  /// Checksums of the sender's directory by bucket; empty asks for all records.
+  std::vector<std::uint64_t> fingerprints;
   friend bool operator==(const records_request&, const records_request&) = default;
 };
 
@@ -99,6 +101,7 @@
   header_map headers;
   byte_string body;
   std::string reason;  ///< Why the request did not run or its outcome is unknown.
+  std::chrono::milliseconds retry_after_ms{0};  ///< When a refused request is worth repeating.
   load_report load;
   friend bool operator==(const call_answer&, const call_answer&) = default;
 };
@@ -135,7 +138,8 @@
   request_id id = 0;
   operation_key operation;
   digest body_digest;
-  std::int64_t expires_at_ms = 0;  ///< Wall time in milliseconds since the Unix epoch.
+  std::int64_t expires_at_ms = 0;    ///< Wall time in milliseconds since the Unix epoch.
+  std::int32_t retention_days = 30;  ///< Of the action; how long the answer is kept.
   friend bool operator==(const claim_request&, const claim_request&) = default;
 };
 
@@ -145,6 +149,7 @@
   std::optional<claim> granted;
   std::optional<recorded_answer> answer;
   std::string reason;
+  std::chrono::milliseconds retry_after_ms{0};  ///< When a refused request is worth repeating.
   friend bool operator==(const claim_answer&, const claim_answer&) = default;
 };
 
@@ -160,6 +165,7 @@
 struct claim_complete_answer {
   request_id id = 0;
   bool recorded = false;
+  bool final = true;  ///< False if the completion should be repeated to the shard's owner.
   friend bool operator==(const claim_complete_answer&, const claim_complete_answer&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -44,7 +44,8 @@
 
 template <>
 struct record_fields<wire::records_request> {
-  static constexpr auto table = std::make_tuple();
+  static constexpr auto table =
+      std::make_tuple(optional_field("fingerprints", &wire::records_request::fingerprints));
 };
 
 template <>
@@ -79,14 +80,15 @@
 
 template <>
 struct record_fields<wire::call_answer> {
-  static constexpr auto table =
-      std::make_tuple(required_field("id", &wire::call_answer::id),
-                      required_field("outcome", &wire::call_answer::outcome),
-                      required_field("status", &wire::call_answer::status, {0, 999}),
-                      required_field("headers", &wire::call_answer::headers),
-                      required_field("body", &wire::call_answer::body),
-                      optional_field("reason", &wire::call_answer::reason),
-                      required_field("load", &wire::call_answer::load));
+  static constexpr auto table = std::make_tuple(
+      required_field("id", &wire::call_answer::id),
+      required_field("outcome", &wire::call_answer::outcome),
+      required_field("status", &wire::call_answer::status, {0, 999}),
+      required_field("headers", &wire::call_answer::headers),
+      required_field("body", &wire::call_answer::body),
+      optional_field("reason", &wire::call_answer::reason),
+      optional_field("retry_after_ms", &wire::call_answer::retry_after_ms, {0, 3'600'000}),
+      required_field("load", &wire::call_answer::load));
 };
 
 template <>
@@ -111,21 +113,23 @@
 
 template <>
 struct record_fields<wire::claim_request> {
-  static constexpr auto table =
-      std::make_tuple(required_field("id", &wire::claim_request::id),
-                      required_field("operation", &wire::claim_request::operation),
-                      required_field("body_digest", &wire::claim_request::body_digest),
-                      required_field("expires_at_ms", &wire::claim_request::expires_at_ms));
+  static constexpr auto table = std::make_tuple(
+      required_field("id", &wire::claim_request::id),
+      required_field("operation", &wire::claim_request::operation),
+      required_field("body_digest", &wire::claim_request::body_digest),
+      required_field("expires_at_ms", &wire::claim_request::expires_at_ms),
+      optional_field("retention_days", &wire::claim_request::retention_days, {1, 3650}));
 };
 
 template <>
 struct record_fields<wire::claim_answer> {
-  static constexpr auto table =
-      std::make_tuple(required_field("id", &wire::claim_answer::id),
-                      required_field("decision", &wire::claim_answer::decision),
-                      optional_field("granted", &wire::claim_answer::granted),
-                      optional_field("answer", &wire::claim_answer::answer),
-                      optional_field("reason", &wire::claim_answer::reason));
+  static constexpr auto table = std::make_tuple(
+      required_field("id", &wire::claim_answer::id),
+      required_field("decision", &wire::claim_answer::decision),
+      optional_field("granted", &wire::claim_answer::granted),
+      optional_field("answer", &wire::claim_answer::answer),
+      optional_field("reason", &wire::claim_answer::reason),
+      optional_field("retry_after_ms", &wire::claim_answer::retry_after_ms, {0, 3'600'000}));
 };
 
 template <>
@@ -142,7 +146,8 @@
 struct record_fields<wire::claim_complete_answer> {
   static constexpr auto table =
       std::make_tuple(required_field("id", &wire::claim_complete_answer::id),
-                      required_field("recorded", &wire::claim_complete_answer::recorded));
+                      required_field("recorded", &wire::claim_complete_answer::recorded),
+                      optional_field("final", &wire::claim_complete_answer::final));
 };
 
 template <>
