--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -46,6 +46,7 @@
   one.to = to;
   one.done = std::move(done);
   one.deadline = deadline;
+  one.idempotent = request.idempotent;
   if (to == shared_.options.instance.name) {
     pending_.add(id, process_of(to), deadline, true);
     shared_.loop.post([this, request = std::move(request)] { deliver_locally_(request); });
@@ -68,7 +69,7 @@
     return;
   }
   const call_outcome outcome{id, process_of(one.to), verdict::not_run, std::nullopt,
-                             "link_unavailable"};
+                             link_unavailable_reason};
   shared_.loop.post([this, outcome] { finish(outcome); });
 }
 
@@ -122,8 +123,19 @@
   for (const call_outcome& outcome : lost.outcomes) {
     finish(outcome);
   }
-  if (!lost.to_query.empty()) {
-    to_query_[peer] = lost.to_query;
+  std::vector<wire::request_id>& queries = to_query_[peer];
+  for (const wire::request_id id : lost.to_query) {
+    const auto found = calls_.find(id);
+    if (found != calls_.end() && found->second.idempotent) {
+      // The caller may try elsewhere at once; asking what became of it would only cost time.
+      finish({id, process_of(peer), verdict::may_have_run, std::nullopt, link_lost_reason});
+    } else {
+      queries.push_back(id);
+    }
+  }
+  if (queries.empty()) {
+    to_query_.erase(peer);
+  } else {
     mesh_.ensure_link(peer);
   }
 }
@@ -136,7 +148,7 @@
     }
   }
   for (const wire::request_id id : unsent) {
-    finish({id, process_of(peer), verdict::not_run, std::nullopt, "link_unavailable"});
+    finish({id, process_of(peer), verdict::not_run, std::nullopt, link_unavailable_reason});
   }
 }
 
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -17,6 +17,11 @@
 /// each answer to the call it belongs to, over lost links too.
 class call_router {
  public:
+  /// Reason of an outcome whose link was lost after the call was written.
+  static constexpr const char* link_lost_reason = "link_lost";
+  /// Reason of an outcome whose call was never written, because no link could be opened.
+  static constexpr const char* link_unavailable_reason = "link_unavailable";
+
   using callback = std::function<void(const call_outcome&)>;
   /// Passes a call to the target beside this daemon.
   using local_delivery = std::function<void(const wire::call&)>;
@@ -50,6 +55,7 @@
     /// Set while the call waits for a link; the call is then not written yet.
     std::optional<wire::call> unsent;
     time_point deadline;
+    bool idempotent = false;
   };
 
   void write(wire::request_id id, waiting_call& one);
--- a/Source/daemon/caller_request.cpp
+++ b/Source/daemon/caller_request.cpp
@@ -223,7 +223,8 @@
   std::optional<load_report> load;
   if (outcome.answer.has_value()) {
     load = outcome.answer->load;
-  } else if (outcome.outcome == verdict::not_run) {
+  } else if (outcome.reason == call_router::link_lost_reason ||
+             outcome.reason == call_router::link_unavailable_reason) {
     services_.selector.connection_failed(ended.instance, now);
   }
   services_.selector.request_ended(ended.instance, now, now - ended.sent_at, outcome.outcome, load);
--- a/Source/daemon/membership_service.cpp
+++ b/Source/daemon/membership_service.cpp
@@ -43,15 +43,7 @@
     }
   });
   dispatcher.on<wire::records_request>(
-      [this](const auto& from, const wire::records_request& request) {
-        directory::fingerprints theirs{};
-        std::copy_n(request.fingerprints.begin(),
-                    std::min(request.fingerprints.size(), theirs.size()), theirs.begin());
-        std::vector<instance_record> differing = directory_.differing(theirs);
-        if (!differing.empty()) {
-          mesh_.send(from, wire::records{std::move(differing)});
-        }
-      });
+      [this](const auto& from, const auto& content) { answer_comparison(from, content); });
 }
 
 bool membership_service::is_watcher() const {
@@ -118,11 +110,11 @@
   if (held.has_value()) {
     mesh_.send(peer, wire::records{{*held}});
   }
-  const auto& own = directory_.bucket_fingerprints();
-  mesh_.send(peer, wire::records_request{{own.begin(), own.end()}});
+  compare_with(peer, false);
 }
 
 void membership_service::peer_lost(const instance_name& peer) {
+  compared_.erase(peer);
   unlinked_since_[peer] = shared_.loop.now();
 }
 
@@ -164,6 +156,10 @@
   for (const instance_name& neighbour : neighbours_) {
     if (mesh_.linked(neighbour)) {
       unlinked_since_.erase(neighbour);
+      // Changes from before this instance was a neighbour were not queued for it.
+      if (compared_.insert(neighbour).second) {
+        compare_with(neighbour, false);
+      }
       continue;
     }
     const auto [since, added] = unlinked_since_.emplace(neighbour, now);
@@ -176,9 +172,11 @@
       }
     }
   }
-  std::erase_if(unlinked_since_, [&](const auto& entry) {
-    return std::find(neighbours_.begin(), neighbours_.end(), entry.first) == neighbours_.end();
-  });
+  const auto is_neighbour = [&](const instance_name& name) {
+    return std::find(neighbours_.begin(), neighbours_.end(), name) != neighbours_.end();
+  };
+  std::erase_if(unlinked_since_, [&](const auto& entry) { return !is_neighbour(entry.first); });
+  std::erase_if(compared_, [&](const auto& name) { return !is_neighbour(name); });
 }
 
 void membership_service::gossip() {
@@ -200,8 +198,29 @@
   }
   next_comparison_ = now + shared_.random.exponential(comparison_mean);
   const instance_name& neighbour = neighbours_[shared_.random.index(neighbours_.size())];
+  compare_with(neighbour, false);
+}
+
+void membership_service::compare_with(const instance_name& peer, bool reply) {
   const auto& own = directory_.bucket_fingerprints();
-  mesh_.send(neighbour, wire::records_request{{own.begin(), own.end()}});
+  mesh_.send(peer, wire::records_request{{own.begin(), own.end()}, reply});
+}
+
+void membership_service::answer_comparison(const instance_name& from,
+                                           const wire::records_request& request) {
+  directory::fingerprints theirs{};
+  std::copy_n(request.fingerprints.begin(), std::min(request.fingerprints.size(), theirs.size()),
+              theirs.begin());
+  if (theirs == directory_.bucket_fingerprints()) {
+    return;
+  }
+  std::vector<instance_record> differing = directory_.differing(theirs);
+  if (!differing.empty()) {
+    mesh_.send(from, wire::records{std::move(differing)});
+  }
+  if (!request.reply) {
+    compare_with(from, true);
+  }
 }
 
 void membership_service::find_peers() {
--- a/Source/daemon/membership_service.h
+++ b/Source/daemon/membership_service.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   void find_peers();
   void announce();
   void compare_directories();
+  void compare_with(const instance_name& peer, bool reply);
+  void answer_comparison(const instance_name& from, const wire::records_request& request);
   void note_change(const instance_record& record, const instance_name& from);
 
   const daemon_context& shared_;
@@ -55,6 +58,8 @@
   platform_budget budget_;
   std::uint64_t reviewed_revision_ = 0;
   std::vector<instance_name> neighbours_;
+  /// Neighbours with whom the directories have been compared since they were chosen and linked.
+  std::set<instance_name> compared_;
   bool announced_ = false;
   bool announcing_ = false;
   bool listing_ = false;
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -18,6 +18,13 @@
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
 
+/// Answers a caller that arrives in the last moments of the process.
+void respond_stopping(http_exchange& exchange) {
+  exchange.respond({503,
+                    {{"Connection", "close"}, {"X-Not-Run", "true"}, {"Retry-After", "1"}},
+                    "this instance is stopping\n"});
+}
+
 }  // namespace
 
 mesh_daemon::mesh_daemon(event_loop& loop, settings options)
@@ -59,7 +66,11 @@
   caller_server_ = std::make_unique<http_server>(
       loop_, ip_endpoint{options_.listen.address, options_.listen.caller_port},
       [this](const std::shared_ptr<http_exchange>& exchange) {
-        std::make_shared<caller_request>(*caller_services_, exchange)->start();
+        if (stopped_) {
+          respond_stopping(*exchange);
+        } else {
+          std::make_shared<caller_request>(*caller_services_, exchange)->start();
+        }
       });
   api_ = std::make_unique<intent_api>(*this);
 }
@@ -97,6 +108,7 @@
     membership_->peer_established(peer, greeting);
     distributor_->peer_established(peer, greeting.self.domain, greeting);
     router_->peer_established(peer);
+    run_once_->peer_established(peer);
     if (const std::vector<crash_report> held = suspicions_.all(); !held.empty()) {
       mesh_->send(peer, wire::suspicions{held});
     }
@@ -237,8 +249,8 @@
 }
 
 void mesh_daemon::continue_drain() {
-  const bool idle =
-      target_->drained() && router_->waiting() == 0 && run_once_->unrecorded_completions() == 0;
+  const bool idle = target_->drained() && router_->waiting() == 0 &&
+                    run_once_->waiting_requests() == 0 && run_once_->unrecorded_completions() == 0;
   if (stopped_ || (!idle && loop_.now() < drain_deadline_)) {
     return;
   }
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -11,6 +11,7 @@
   session->peer_ = expected;
   session->heard_at_ = shared->loop.now();
   session->link_ = peer_link::connect(shared->loop, remote, session->make_handlers());
+  session->watch_for_hello();
   return session;
 }
 
@@ -19,6 +20,7 @@
   std::shared_ptr<peer_session> session(new peer_session(shared));
   session->heard_at_ = shared->loop.now();
   session->link_ = peer_link::accept(shared->loop, descriptor, session->make_handlers());
+  session->watch_for_hello();
   return session;
 }
 
@@ -57,6 +59,17 @@
   });
 }
 
+void peer_session::watch_for_hello() {
+  // A process that hangs still has its connections accepted by its kernel.
+  std::weak_ptr<peer_session> weak = weak_from_this();
+  hello_timer_ = shared_->loop.after(shared_->heartbeat_timeout, [weak] {
+    const auto session = weak.lock();
+    if (session != nullptr && !session->established_) {
+      session->close("no hello in time");
+    }
+  });
+}
+
 void peer_session::check_heartbeat() {
   if (silence() > shared_->heartbeat_timeout) {
     close("heartbeat timed out");
@@ -97,6 +110,7 @@
 
 void peer_session::link_closed(const std::string& reason) {
   heartbeat_timer_ = nullptr;
+  hello_timer_ = nullptr;
   shared_->ended(shared_from_this(), reason);
 }
 
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -50,6 +50,7 @@
   explicit peer_session(std::shared_ptr<const context> shared) : shared_(std::move(shared)) {}
 
   peer_link::handlers make_handlers();
+  void watch_for_hello();
   void link_opened();
   void message_received(const wire::envelope& value);
   void accept_hello(const wire::envelope& value, const wire::hello& greeting);
@@ -63,6 +64,7 @@
   std::uint64_t heartbeat_sequence_ = 0;
   time_point heard_at_{};
   timer_handle heartbeat_timer_;
+  timer_handle hello_timer_;
 };
 
 }  // namespace crocusdoor
--- a/Source/daemon/run_once_service.cpp
+++ b/Source/daemon/run_once_service.cpp
@@ -14,6 +14,9 @@
 constexpr duration tick_interval = std::chrono::milliseconds(20);
 constexpr duration first_completion_pause = std::chrono::milliseconds(100);
 constexpr duration longest_completion_pause = std::chrono::seconds(5);
+/// How long the answer to a claim request is kept for a repeat of the request. Longer than the
+/// detection of a silent link and the opening of a new one.
+constexpr duration remote_request_age = std::chrono::seconds(60);
 
 wire::claim_answer to_message(wire::request_id id, const claim_reply& reply) {
   return {id,
@@ -57,72 +60,84 @@
 }
 
 void run_once_service::request_claim(const claim_parameters& parameters, claim_callback done) {
-  const auto owner = claims_.owner_of(parameters.operation);
+  const wire::request_id id = next_request_++;
+  pending_request& pending = requests_[id];
+  pending.parameters = parameters;
+  pending.done = std::move(done);
+  const duration left = parameters.expires_at - event_loop::wall_now();
+  pending.timeout = shared_.loop.after(left, [this, id] { request_timed_out(id); });
+  send_request(id);
+}
+
+void run_once_service::send_request(wire::request_id id) {
+  pending_request& pending = requests_.at(id);
+  const auto owner = claims_.owner_of(pending.parameters.operation);
   if (!owner.has_value()) {
-    done({claim_decision::refused, std::nullopt, std::nullopt, "no_shard_owner",
-          std::chrono::seconds(1)});
     return;
   }
+  pending.owner = *owner;
+  const claim_parameters& parameters = pending.parameters;
   if (*owner == shared_.options.instance.name) {
+    pending.sent = true;
     const ticket_number ticket = next_ticket_++;
-    claim_tickets_[ticket] = std::move(done);
+    claim_tickets_[ticket] = [this, id](const claim_reply& reply) { request_answered(id, reply); };
     apply(claims_.request_claim(ticket, parameters, read_clock()));
     return;
   }
-  const wire::request_id id = next_request_++;
-  const wire::claim_request request{id, parameters.operation, parameters.body_digest,
-                                    parameters.expires_at.time_since_epoch().count(),
-                                    parameters.retention_days};
-  if (!mesh_.send(*owner, request)) {
+  pending.sent =
+      mesh_.send(*owner, wire::claim_request{id, parameters.operation, parameters.body_digest,
+                                             parameters.expires_at.time_since_epoch().count(),
+                                             parameters.retention_days});
+  if (!pending.sent) {
     mesh_.ensure_link(*owner);
-    done({claim_decision::refused, std::nullopt, std::nullopt, "shard_owner_unreachable",
-          std::chrono::milliseconds(200)});
-    return;
   }
-  pending_request& pending = requests_[id];
-  pending.done = std::move(done);
-  pending.owner = *owner;
-  const duration left = parameters.expires_at - event_loop::wall_now();
-  pending.timeout =
-      shared_.loop.after(left, [this, id, parameters] { request_timed_out(id, parameters); });
 }
 
-void run_once_service::request_timed_out(wire::request_id id, const claim_parameters& parameters) {
-  const auto found = requests_.find(id);
-  if (found == requests_.end()) {
+void run_once_service::request_answered(wire::request_id id, const claim_reply& reply) {
+  auto node = requests_.extract(id);
+  const bool granted = reply.decision == claim_decision::granted && reply.granted.has_value();
+  if (!node.empty()) {
+    if (granted) {
+      used_claims_[reply.granted->id] = reply.granted->expires_at_ms;
+    }
+    node.mapped().done(reply);
+  } else if (granted && !used_claims_.contains(reply.granted->id)) {
+    // Nobody waits for this claim any more, so nothing will run under it.
+    complete(*reply.granted, verdict::not_run, std::nullopt);
+  }
+}
+
+void run_once_service::request_timed_out(wire::request_id id) {
+  auto node = requests_.extract(id);
+  if (node.empty()) {
     return;
   }
   LOG_EVENT(WARNING, "claim_unanswered")
-      << field("action", parameters.operation.action) << field("owner", found->second.owner);
-  const claim_callback done = std::move(found->second.done);
-  requests_.erase(found);
+      << field("action", node.mapped().parameters.operation.action)
+      << field("owner", node.mapped().owner);
   // The claim may have been granted, but this instance will not use it: nothing has run.
-  done({claim_decision::refused, std::nullopt, std::nullopt, "shard_owner_silent",
-        std::chrono::seconds(1)});
+  node.mapped().done({claim_decision::refused, std::nullopt, std::nullopt, "shard_owner_silent",
+                      std::chrono::seconds(1)});
 }
 
 void run_once_service::receive_claim_answer(const wire::claim_answer& answer) {
-  const auto found = requests_.find(answer.id);
-  if (found == requests_.end()) {
-    if (answer.decision == claim_decision::granted && answer.granted.has_value()) {
-      complete(*answer.granted, verdict::not_run, std::nullopt);
-    }
-    return;
-  }
-  const claim_callback done = std::move(found->second.done);
-  requests_.erase(found);
-  done(from_message(answer));
+  request_answered(answer.id, from_message(answer));
 }
 
 void run_once_service::receive_claim_request(const instance_name& from,
                                              const wire::claim_request& request) {
-  const ticket_number ticket = next_ticket_++;
-  claim_tickets_[ticket] = [this, from, id = request.id](const claim_reply& reply) {
-    const bool sent = mesh_.send(from, to_message(id, reply));
-    if (!sent && reply.granted.has_value()) {
-      // The answer was never written, so nobody can use the claim.
-      complete(*reply.granted, verdict::not_run, std::nullopt);
+  const remote_request identity{from, mesh_.incarnation_of(from), request.id};
+  const auto [entry, added] = remote_requests_.try_emplace(identity);
+  if (!added) {
+    if (entry->second.reply.has_value()) {
+      mesh_.send(from, to_message(request.id, *entry->second.reply));
     }
+    return;
+  }
+  entry->second.received_at = shared_.loop.now();
+  const ticket_number ticket = next_ticket_++;
+  claim_tickets_[ticket] = [this, identity](const claim_reply& reply) {
+    remote_request_answered(identity, reply);
   };
   const claim_parameters parameters{request.operation, request.body_digest,
                                     wall_time(std::chrono::milliseconds(request.expires_at_ms)),
@@ -130,6 +145,56 @@
   apply(claims_.request_claim(ticket, parameters, read_clock()));
 }
 
+void run_once_service::remote_request_answered(const remote_request& request,
+                                               const claim_reply& reply) {
+  const auto entry = remote_requests_.find(request);
+  const bool sent = mesh_.send(request.from, to_message(request.id, reply));
+  if (entry == remote_requests_.end()) {
+    return;
+  }
+  entry->second.reply = reply;
+  if (!sent && reply.granted.has_value()) {
+    // The grant was never written to a link. It is withdrawn, so that the operation does not end in
+    // doubt if the requester has died; a repeat of the request is refused as not run.
+    const claim unused = *reply.granted;
+    entry->second.reply = claim_reply{claim_decision::refused, std::nullopt, std::nullopt,
+                                      "requester_unreachable", std::chrono::milliseconds(200)};
+    complete(unused, verdict::not_run, std::nullopt);
+  }
+}
+
+void run_once_service::peer_established(const instance_name& peer) {
+  for (auto& [id, pending] : requests_) {
+    if (pending.owner == peer) {
+      pending.sent = false;
+    }
+  }
+  review_requests();
+}
+
+void run_once_service::review_requests() {
+  std::vector<wire::request_id> unsent;
+  for (const auto& [id, pending] : requests_) {
+    const auto owner = claims_.owner_of(pending.parameters.operation);
+    if (!pending.sent || (owner.has_value() && *owner != pending.owner)) {
+      unsent.push_back(id);
+    }
+  }
+  for (const wire::request_id id : unsent) {
+    if (requests_.contains(id)) {
+      send_request(id);
+    }
+  }
+  const time_point oldest = shared_.loop.now() - remote_request_age;
+  const std::int64_t wall_ms = event_loop::wall_now().time_since_epoch().count();
+  const std::int64_t repeat_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(remote_request_age).count();
+  std::erase_if(used_claims_,
+                [&](const auto& entry) { return entry.second + repeat_ms < wall_ms; });
+  std::erase_if(remote_requests_,
+                [&](const auto& entry) { return entry.second.received_at < oldest; });
+}
+
 void run_once_service::complete(const claim& held, verdict outcome,
                                 std::optional<recorded_answer> answer) {
   const wire::request_id id = next_request_++;
@@ -202,6 +267,11 @@
 
 void run_once_service::tick() {
   apply(claims_.tick(read_clock()));
+  review_requests();
+  review_completions();
+}
+
+void run_once_service::review_completions() {
   const time_point now = shared_.loop.now();
   std::vector<wire::request_id> due;
   for (const auto& [id, one] : completions_) {
--- a/Source/daemon/run_once_service.h
+++ b/Source/daemon/run_once_service.h
@@ -35,19 +35,41 @@
   void resolve(const operation_key& operation, const operation_resolution& resolution,
                resolution_callback done);
 
+  /// Requests to this peer whose answers may have been lost are sent again.
+  void peer_established(const instance_name& peer);
+
   [[nodiscard]] std::optional<instance_name> owner_of(const operation_key& operation) const {
     return claims_.owner_of(operation);
   }
   [[nodiscard]] const claim_service& claims() const noexcept { return claims_; }
+  /// Claim requests without an answer.
+  [[nodiscard]] std::size_t waiting_requests() const noexcept { return requests_.size(); }
   /// Completions that no owner has recorded yet.
   [[nodiscard]] std::size_t unrecorded_completions() const noexcept { return completions_.size(); }
 
  private:
+  /// A claim request of this instance. It is sent again with the same id after its link was lost,
+  /// and to the new owner after the shard has moved.
   struct pending_request {
+    claim_parameters parameters;
     claim_callback done;
     instance_name owner;
+    bool sent = false;
     timer_handle timeout;
   };
+  /// Identifies a claim request of another instance.
+  struct remote_request {
+    instance_name from;
+    std::uint64_t incarnation = 0;
+    wire::request_id id = 0;
+    friend auto operator<=>(const remote_request&, const remote_request&) = default;
+  };
+  /// Answer to a claim request of another instance, kept so that a repeat of the request gets the
+  /// same answer and not "in progress".
+  struct remote_reply {
+    std::optional<claim_reply> reply;
+    time_point received_at;
+  };
   struct pending_completion {
     claim held;
     verdict outcome = verdict::may_have_run;
@@ -73,7 +95,12 @@
   void receive_completion_answer(const wire::claim_complete_answer& answer);
   void completion_answered(wire::request_id id, bool recorded, bool final);
   void send_completion(wire::request_id id, pending_completion& one);
-  void request_timed_out(wire::request_id id, const claim_parameters& parameters);
+  void send_request(wire::request_id id);
+  void request_answered(wire::request_id id, const claim_reply& reply);
+  void request_timed_out(wire::request_id id);
+  void remote_request_answered(const remote_request& request, const claim_reply& reply);
+  void review_requests();
+  void review_completions();
   void tick();
 
   const daemon_context& shared_;
@@ -86,6 +113,10 @@
   std::map<ticket_number, std::function<void(const answer_completion&)>> completion_tickets_;
   std::map<ticket_number, resolution_callback> resolution_tickets_;
   std::map<wire::request_id, pending_request> requests_;
+  std::map<remote_request, remote_reply> remote_requests_;
+  /// Claims under which this instance has sent requests, with their expiry (ms since the Unix
+  /// epoch): a second copy of the same grant must not release the claim.
+  std::map<claim_id, std::int64_t> used_claims_;
   std::map<wire::request_id, pending_completion> completions_;
   timer_handle timer_;
 };
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -60,6 +60,8 @@
 struct records_request {
   /// Checksums of the sender's directory by bucket; empty asks for all records.
   std::vector<std::uint64_t> fingerprints;
+  /// Whether this answers another request; the receiver then sends no request back.
+  bool reply = false;
   friend bool operator==(const records_request&, const records_request&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -45,7 +45,8 @@
 template <>
 struct record_fields<wire::records_request> {
   static constexpr auto table =
-      std::make_tuple(optional_field("fingerprints", &wire::records_request::fingerprints));
+      std::make_tuple(optional_field("fingerprints", &wire::records_request::fingerprints),
+                      optional_field("reply", &wire::records_request::reply));
 };
 
 template <>
