--- a/Source/configuration/snapshot.cpp
+++ b/Source/configuration/snapshot.cpp
@@ -86,6 +86,11 @@
          (prefix.empty() || path.size() == prefix.size() || path[prefix.size()] == '/');
 }
 
+/// Trailing slashes do not make a prefix more specific.
+bool is_longer(std::string_view prefix, std::string_view other) {
+  return detail::trimmed_prefix(prefix).size() > detail::trimmed_prefix(other).size();
+}
+
 }  // namespace
 
 snapshot_pointer share_snapshot(snapshot content) {
@@ -133,7 +138,7 @@
   }
   const route* best = nullptr;
   for (const auto& [name, one] : content.routes) {
-    const bool longer = best == nullptr || one.path_prefix.size() > best->path_prefix.size();
+    const bool longer = best == nullptr || is_longer(one.path_prefix, best->path_prefix);
     if (longer && covers(one.path_prefix, path)) {
       best = &one;
     }
@@ -148,7 +153,7 @@
   }
   const run_once_action* best = nullptr;
   for (const auto& [name, one] : content.actions) {
-    const bool longer = best == nullptr || one.path_prefix.size() > best->path_prefix.size();
+    const bool longer = best == nullptr || is_longer(one.path_prefix, best->path_prefix);
     const bool applies = one.service == target_service && one.method == method;
     if (longer && applies && covers(one.path_prefix, path)) {
       best = &one;
