--- a/Source/core/record_codec.h
+++ b/Source/core/record_codec.h
@@ -16,6 +16,7 @@
 
 #include "core/enum_names.h"
 #include "core/strong_string.h"
+#include "core/utf8.h"
 
 namespace crocusdoor {
 
@@ -192,8 +193,9 @@
   [[nodiscard]] const std::vector<decode_problem>& problems() const noexcept { return problems_; }
   [[nodiscard]] bool ok() const noexcept { return problems_.empty(); }
 
-  void report(std::string path, std::string message) {
-    problems_.push_back({std::move(path), std::move(message)});
+  /// Texts of the document need not be valid UTF-8; the problem's texts are.
+  void report(const std::string& path, const std::string& message) {
+    problems_.push_back({to_utf8(path), to_utf8(message)});
   }
 
   template <typename T>
--- /dev/null
+++ b/Source/wire/cbor_reader.cpp
@@ -0,0 +1,83 @@
+#include "wire/cbor_reader.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace crocusdoor::wire {
+
+namespace {
+
+/// Builds a document from the reader's events and stops the reader at the depth limit.
+class bounded_builder : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return attach(nullptr); }
+  bool boolean(bool value) override { return attach(value); }
+  bool number_integer(number_integer_t value) override { return attach(value); }
+  bool number_unsigned(number_unsigned_t value) override { return attach(value); }
+  bool number_float(number_float_t value, const string_t& /*digits*/) override {
+    return attach(value);
+  }
+  bool string(string_t& value) override { return attach(std::move(value)); }
+  bool binary(binary_t& value) override { return attach(json::binary(std::move(value))); }
+  bool start_object(std::size_t /*size*/) override { return open(json::object()); }
+  bool start_array(std::size_t /*size*/) override { return open(json::array()); }
+  bool end_object() override { return close(); }
+  bool end_array() override { return close(); }
+  bool key(string_t& value) override {
+    open_.back().key = std::move(value);
+    return true;
+  }
+  bool parse_error(std::size_t /*position*/, const std::string& /*last_token*/,
+                   const nlohmann::detail::exception& /*error*/) override {
+    return false;
+  }
+
+  json take() { return std::move(result_); }
+
+ private:
+  struct container {
+    json value;
+    std::string key;
+  };
+
+  bool attach(json value) {
+    if (open_.empty()) {
+      result_ = std::move(value);
+    } else if (open_.back().value.is_array()) {
+      open_.back().value.push_back(std::move(value));
+    } else {
+      open_.back().value[std::move(open_.back().key)] = std::move(value);
+    }
+    return true;
+  }
+
+  bool open(json empty) {
+    if (open_.size() == message_depth_limit) {
+      return false;
+    }
+    open_.push_back({std::move(empty), {}});
+    return true;
+  }
+
+  bool close() {
+    json value = std::move(open_.back().value);
+    open_.pop_back();
+    return attach(std::move(value));
+  }
+
+  std::vector<container> open_;
+  json result_;
+};
+
+}  // namespace
+
+std::optional<json> read_cbor(std::string_view bytes) {
+  bounded_builder builder;
+  if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::cbor)) {
+    return std::nullopt;
+  }
+  return builder.take();
+}
+
+}  // namespace crocusdoor::wire
--- a/Source/wire/message_codec.cpp
+++ b/Source/wire/message_codec.cpp
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "core/record_codec.h"
+#include "core/utf8.h"
+#include "wire/cbor_reader.h"
 #include "wire/message_fields.h"
 
 namespace crocusdoor::wire {
@@ -94,7 +96,7 @@
   if (bytes.size() > message_size_limit_bytes) {
     return leaf::new_error(failure{error_code::over_limit, "message larger than the limit"});
   }
-  const json document = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const json document = read_cbor(bytes).value_or(json(json::value_t::discarded));
   BOOST_LEAF_CHECK(check_header(document));
   const auto& kind = document["kind"].get_ref<const std::string&>();
   for (std::size_t index = 0; index < kind_names.size(); ++index) {
@@ -112,7 +114,8 @@
     }
     return value;
   }
-  return leaf::new_error(failure{error_code::invalid, "message of unknown kind \"" + kind + "\""});
+  return leaf::new_error(
+      failure{error_code::invalid, "message of unknown kind \"" + to_utf8(kind) + "\""});
 }
 
 }  // namespace crocusdoor::wire
--- a/Tests/wire/message_codec_test.cpp
+++ b/Tests/wire/message_codec_test.cpp
@@ -70,6 +70,19 @@
     CHECK(failure_of(other).message == "call/id: value -1 is outside 0 to 9223372036854775807");
   }
 
+  SECTION("nested arrays that would overflow the stack of a recursive reader") {
+    CHECK(decode_failure(std::string(message_size_limit_bytes - 1, '\x81')).code ==
+          error_code::malformed);
+  }
+
+  SECTION("a text that is not UTF-8 is refused with a reason that can be sent as JSON") {
+    json document = json::from_cbor(whole);
+    document["kind"] = "\xC3(";
+    std::string bytes;
+    json::to_cbor(document, bytes);
+    CHECK(decode_failure(bytes).message == "message of unknown kind \"?(\"");
+  }
+
   SECTION("a message above the size limit") {
     CHECK(decode_failure(std::string(message_size_limit_bytes + 1, 'x')).code ==
           error_code::over_limit);
