--- a/Source/configuration/document_parser.cpp
+++ b/Source/configuration/document_parser.cpp
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "core/utf8.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -270,7 +272,7 @@
     text += text.empty() ? "" : "\n";
     text += (problem.path.empty() ? "/" : problem.path) + ": " + problem.message;
   }
-  return text;
+  return to_utf8(text);
 }
 
 }  // namespace crocusdoor
--- a/Source/configuration/head_document.cpp
+++ b/Source/configuration/head_document.cpp
@@ -33,6 +33,15 @@
   }
 }
 
+std::string encode(const json& document) {
+  // Texts are checked when intents are validated; here invalid UTF-8 must only not throw.
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::size_t encoded_size(const change_record& change) {
+  return encode(encode_value(change)).size();
+}
+
 failure too_large(std::size_t size) {
   return failure{error_code::over_limit, "the configuration head has " + std::to_string(size) +
                                              " bytes; " + std::to_string(head_size_limit_bytes) +
@@ -57,7 +66,7 @@
 }
 
 std::string encode_head(const head_document& head) {
-  return encode_value(head).dump(-1, ' ', false, json::error_handler_t::replace);
+  return encode(encode_value(head));
 }
 
 leaf::result<head_document> parse_head(std::string_view text) {
@@ -87,10 +96,11 @@
   std::size_t size = encode_head(head).size();
   for (std::size_t i = 0; i < head.changes.size() && size > head_size_limit_bytes; ++i) {
     change_record& oldest = head.changes[i];
+    size -= encoded_size(oldest);
     oldest.left_out += oldest.touched.size();
     oldest.touched.clear();
     oldest.sentences.clear();
-    size = encode_head(head).size();
+    size += encoded_size(oldest);
   }
   if (size > head_size_limit_bytes) {
     return leaf::new_error(too_large(size));
--- a/Source/configuration/intent.cpp
+++ b/Source/configuration/intent.cpp
@@ -6,6 +6,7 @@
 #include "configuration/document_parser.h"
 #include "configuration/resource_rules.h"
 #include "configuration/resource_types.h"
+#include "core/utf8.h"
 
 namespace crocusdoor {
 
@@ -33,7 +34,7 @@
 
  private:
   void check_line(const std::string& path, const std::string& text, std::size_t limit) {
-    if (text.empty() || text.size() > limit || !detail::is_utf8(text)) {
+    if (text.empty() || text.size() > limit || !is_utf8(text)) {
       problems_.push_back(
           {path, "a text of 1 to " + std::to_string(limit) + " bytes of valid UTF-8 is expected"});
     }
--- a/Source/configuration/plan.cpp
+++ b/Source/configuration/plan.cpp
@@ -5,6 +5,7 @@
 #include "configuration/document_parser.h"
 #include "configuration/plan_sentences.h"
 #include "configuration/resource_types.h"
+#include "core/utf8.h"
 
 namespace crocusdoor {
 
@@ -195,9 +196,9 @@
 }
 
 std::vector<decode_problem> check_identifier(const std::string& plan_id) {
-  if (plan_id.empty() || plan_id.size() > plan_id_limit_bytes) {
-    return {
-        {"/id", "a plan identifier has 1 to " + std::to_string(plan_id_limit_bytes) + " bytes"}};
+  if (plan_id.empty() || plan_id.size() > plan_id_limit_bytes || !is_utf8(plan_id)) {
+    return {{"/id", "a plan identifier has 1 to " + std::to_string(plan_id_limit_bytes) +
+                        " bytes of valid UTF-8"}};
   }
   return {};
 }
--- a/Source/configuration/resource_rules.cpp
+++ b/Source/configuration/resource_rules.cpp
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <type_traits>
 
+#include "core/utf8.h"
+
 namespace crocusdoor::detail {
 
 namespace {
@@ -105,35 +107,6 @@
 
 }  // namespace
 
-bool is_utf8(std::string_view text) {
-  std::size_t next = 0;
-  while (next < text.size()) {
-    const auto first = static_cast<unsigned char>(text[next]);
-    const std::size_t length = first < 0x80U                      ? 1
-                               : first >= 0xC2U && first <= 0xDFU ? 2
-                               : first >= 0xE0U && first <= 0xEFU ? 3
-                               : first >= 0xF0U && first <= 0xF4U ? 4
-                                                                  : 0;
-    if (length == 0 || next + length > text.size()) {
-      return false;
-    }
-    for (std::size_t i = 1; i < length; ++i) {
-      const auto byte = static_cast<unsigned char>(text[next + i]);
-      // The second byte excludes overlong forms, surrogates and code points above U+10FFFF.
-      const unsigned least = i > 1            ? 0x80U
-                             : first == 0xE0U ? 0xA0U
-                             : first == 0xF0U ? 0x90U
-                                              : 0x80U;
-      const unsigned most = i > 1 ? 0xBFU : first == 0xEDU ? 0x9FU : first == 0xF4U ? 0x8FU : 0xBFU;
-      if (byte < least || byte > most) {
-        return false;
-      }
-    }
-    next += length;
-  }
-  return true;
-}
-
 void check_name(const std::string& path, const std::string& name,
                 std::vector<decode_problem>& problems) {
   const bool characters_ok = std::all_of(name.begin(), name.end(), is_name_character);
--- a/Source/configuration/resource_rules.h
+++ b/Source/configuration/resource_rules.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "configuration/route.h"
@@ -11,9 +10,6 @@
 
 namespace crocusdoor::detail {
 
-/// Whether a text is valid UTF-8; other text can be neither shown nor encoded as JSON.
-[[nodiscard]] bool is_utf8(std::string_view text);
-
 /// Adds every rule that a resource breaks by itself to `problems`; `path` is the JSON pointer of
 /// the resource. References to other resources are checked by `validate(const snapshot&)`.
 void check_resource(const std::string& path, const service& one,
--- /dev/null
+++ b/Tests/configuration/convergence_property_test.cpp
@@ -0,0 +1,148 @@
+#include <catch2/catch.hpp>
+#include <variant>
+
+#include "configuration/snapshot_diff.h"
+#include "configuration_fixtures.h"
+
+namespace crocusdoor {
+
+namespace {
+
+/// A message with configuration on its way to a holder.
+using update = std::variant<snapshot, configuration_delta>;
+
+struct receiver {
+  configuration_holder holder;
+  std::vector<update> in_flight;
+  version_number highest = 0;
+};
+
+/// A confirmed history and several holders that learn of it through a network that drops, repeats
+/// and reorders messages.
+class fleet {
+ public:
+  explicit fleet(std::uint64_t seed) : random_(seed), receivers_(4) {}
+
+  /// Confirms one random change and sends it to everybody.
+  void change() {
+    const snapshot& last = history_.back();
+    std::optional<snapshot> next = handle_failure(
+        [&]() -> leaf::result<std::optional<snapshot>> {
+          BOOST_LEAF_AUTO(made, apply_intents(last, random_intents(last, random_)));
+          return std::optional<snapshot>(std::move(made));
+        },
+        [](const failure&) { return std::optional<snapshot>(); });
+    if (!next.has_value()) {
+      return;  // The random intents changed nothing.
+    }
+    history_.push_back(std::move(*next));
+    for (receiver& one : receivers_) {
+      one.in_flight.push_back(random_update());
+    }
+  }
+
+  /// Delivers, repeats, spoils or drops one random message in flight.
+  void deliver() {
+    receiver& one = receivers_[random_.index(receivers_.size())];
+    if (one.in_flight.empty()) {
+      return;
+    }
+    const std::size_t chosen = random_.index(one.in_flight.size());
+    const update message = one.in_flight[chosen];
+    const std::size_t fate = random_.index(8);
+    if (fate != 0) {
+      offer(one, message, fate == 1);
+    }
+    if (fate != 2) {  // Otherwise the message stays and arrives again.
+      one.in_flight.erase(one.in_flight.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+  }
+
+  /// The network heals: each holder asks another one for what it lacks until all hold the newest.
+  void heal() {
+    offer(receivers_[0], update(history_.back()), false);
+    for (std::size_t i = 1; i < receivers_.size(); ++i) {
+      receiver& behind = receivers_[i];
+      const configuration_holder& peer = receivers_[i - 1].holder;
+      if (const auto delta = peer.delta_since(behind.holder.current()->version)) {
+        offer(behind, update(*delta), false);
+      } else {
+        offer(behind, update(*peer.current()), false);
+      }
+    }
+  }
+
+  [[nodiscard]] bool converged() const {
+    return std::all_of(receivers_.begin(), receivers_.end(), [&](const receiver& one) {
+      return *one.holder.current() == history_.back();
+    });
+  }
+  [[nodiscard]] std::size_t adoptions() const { return adoptions_; }
+
+ private:
+  update random_update() {
+    const snapshot& newest = history_.back();
+    if (random_.index(3) == 0) {
+      return newest;
+    }
+    const std::size_t oldest = history_.size() > 6 ? history_.size() - 6 : 0;
+    const snapshot& base = history_[oldest + random_.index(history_.size() - 1 - oldest)];
+    return delta_between(base, newest, digest_of(newest));
+  }
+
+  void offer(receiver& one, const update& message, bool spoiled) {
+    const digest spoiled_digest = digest_of("damaged in flight");
+    const snapshot_pointer before = one.holder.current();
+    adoption outcome = adoption::invalid;
+    if (const auto* whole = std::get_if<snapshot>(&message)) {
+      outcome = one.holder.offer(*whole, spoiled ? spoiled_digest : digest_of(*whole)).outcome;
+    } else {
+      configuration_delta delta = std::get<configuration_delta>(message);
+      delta.result_digest = spoiled ? spoiled_digest : delta.result_digest;
+      outcome = one.holder.offer(delta).outcome;
+    }
+    check(one, before, outcome);
+  }
+
+  void check(receiver& one, const snapshot_pointer& before, adoption outcome) {
+    const snapshot_pointer& now = one.holder.current();
+    REQUIRE(now->version >= one.highest);
+    REQUIRE((outcome == adoption::adopted) == (now->version > before->version));
+    REQUIRE((outcome == adoption::adopted || now == before));
+    REQUIRE(outcome != adoption::invalid);
+    REQUIRE(*now == history_.at(now->version));
+    for (const auto& [name, routed] : now->routes) {
+      REQUIRE(now->services.contains(routed.service));
+    }
+    one.highest = now->version;
+    adoptions_ += outcome == adoption::adopted ? 1 : 0;
+  }
+
+  random_source random_;
+  std::vector<snapshot> history_{snapshot{}};
+  std::vector<receiver> receivers_;
+  std::size_t adoptions_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("whatever order messages arrive in, versions only rise and all holders converge",
+          "[P1][P2][P3][P9][F3]") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    fleet mesh(seed);
+    random_source steps(seed + 1'000);
+    for (int step = 0; step < 200; ++step) {
+      if (steps.index(4) == 0) {
+        mesh.change();
+      } else {
+        mesh.deliver();
+      }
+    }
+    mesh.heal();
+    CHECK(mesh.converged());
+    CHECK(mesh.adoptions() > 20);
+  }
+}
+
+}  // namespace crocusdoor
--- a/Tests/configuration/head_document_test.cpp
+++ b/Tests/configuration/head_document_test.cpp
@@ -75,11 +75,14 @@
 TEST_CASE("the head stays below the platform's limit", "[P3]") {
   snapshot content;
   content.version = 64;
-  for (int i = 0; encode_snapshot(content).size() + 3'000 < snapshot_size_limit_bytes; ++i) {
+  for (int i = 0; i < 430; ++i) {
     service one = make_service("service-" + std::to_string(i));
     one.decision.reason = std::string(1900, 'x');
     content.services.emplace(one.name, one);
   }
+  const std::size_t size = encode_snapshot(content).size();
+  REQUIRE(size <= snapshot_size_limit_bytes);
+  REQUIRE(size > snapshot_size_limit_bytes - 20'000);
   head_document head = make_head(content);
 
   SECTION("old changes lose their texts first, their plans stay recognisable") {
