Test every interleaving of two owners on the real shard log

Cause: a second execution needs a particular order of pauses, lost responses and takeovers, which single stories do not find. Change: a model of two owners, callers, target and platform steps the real shard_log through every interleaving within budgets of faults; states with equal input histories are visited once. Found: timers that stay due although only a result can let them act (next_wakeup); fixed, and checked after each tick.

Conclusion: create-if-absent alone does not fence a paused owner once batches are deleted; the header check does.

--- a/Source/run_once/checkpoint_writer.h
+++ b/Source/run_once/checkpoint_writer.h
@@ -40,8 +40,10 @@
              std::uint64_t epoch, const std::string& identifier, shard_effects& effects);
 
   [[nodiscard]] bool busy() const noexcept { return step_ != step::idle; }
-  /// All parts are durable; `write_header` may be called when no batch is in flight.
+  /// `write_header` may be called when no batch is in flight.
   [[nodiscard]] bool header_ready(time_point now) const;
+  /// All parts are durable and the header is the next step, now or after a back-off.
+  [[nodiscard]] bool header_due() const noexcept { return step_ == step::header_waiting; }
   /// The header operation is in flight; no batch may be started.
   [[nodiscard]] bool header_in_flight() const;
   void write_header(shard_effects& effects);
--- a/Source/run_once/shard_log_platform.cpp
+++ b/Source/run_once/shard_log_platform.cpp
@@ -126,14 +126,19 @@
     consider(request.deadline);
   }
   consider(writer_.retry_at());
-  consider(checkpoint_.retry_at());
+  // A timer that only the result of an operation under way can let act would wake the shell in
+  // vain.
+  if (!writer_.busy() || !checkpoint_.header_due()) {
+    consider(checkpoint_.retry_at());
+  }
   if (phase_ == phase::loading) {
     consider(load_retry_at_);
   }
-  if (phase_ == phase::waiting) {
+  if (phase_ == phase::waiting && outstanding_.empty()) {
     consider(retake_at_);
   }
-  if (phase_ == phase::active && !pending_.queue_empty()) {
+  if (phase_ == phase::active && !pending_.queue_empty() && !writer_.busy() &&
+      !checkpoint_.header_in_flight()) {
     consider(write_retry_at_);
   }
   return earliest;
--- /dev/null
+++ b/Tests/run_once/interleaving_model.cpp
@@ -0,0 +1,461 @@
+#include "interleaving_model.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "core/digest.h"
+
+namespace crocusdoor::testing {
+
+namespace {
+
+std::uint64_t mix(std::uint64_t state, std::string_view text) {
+  return stable_hash(text, state);
+}
+
+std::string content_of(const shard_effect& effect) {
+  if (const auto* create = std::get_if<create_object>(&effect)) {
+    return "create" + create->name + create->content;
+  }
+  if (const auto* write = std::get_if<write_object>(&effect)) {
+    return "write" + write->name + std::to_string(write->expected) + write->content;
+  }
+  return "read" + object_of(effect);
+}
+
+std::string content_of(const platform_result& result) {
+  return std::to_string(static_cast<int>(result.kind)) + result.name +
+         result.content.value_or("-") + std::to_string(result.version);
+}
+
+}  // namespace
+
+std::string model_step::text() const {
+  constexpr std::array<std::string_view, 17> names = {
+      "take",      "give up",  "crash",   "execute",       "lose response", "delay",
+      "refuse",    "arrive",   "deliver", "request claim", "abandon",       "run on target",
+      "give back", "complete", "resolve", "jump",          "wake"};
+  return std::string(names.at(static_cast<std::size_t>(kind))) + " " + std::to_string(subject) +
+         " at " + std::to_string(owner);
+}
+
+interleaving_world::interleaving_world(const model_options& options)
+    : options_(options),
+      clock_{time_point(std::chrono::hours(1)), wall_time(std::chrono::hours(400'000))} {
+  platform_.creates_overwrite = options.disabled == disabled_mechanism::fencing;
+  for (std::size_t i = 0; i < options.callers; ++i) {
+    const std::string key = options.same_key ? "k" : "k" + std::to_string(i);
+    callers_.push_back({{action_name("payout"), idempotency_key(key)},
+                        caller_state::idle,
+                        options.requests_per_caller,
+                        options.completions_per_caller});
+  }
+  restart(0);
+  restart(1);
+}
+
+void interleaving_world::restart(std::size_t owner) {
+  random_source random(++restarts_);
+  instances_[owner] = instance{};
+  instances_[owner].log.emplace(0, random, options_.settings);
+  instances_[owner].history = restarts_;
+}
+
+void interleaving_world::start_first_owner() {
+  apply({step_kind::take, 0, 0});
+  ++options_.takeovers;
+  while (!instances_[0].log->active()) {
+    apply(results_.empty() ? model_step{step_kind::execute, 0, 0}
+                           : model_step{step_kind::deliver, 0, 0});
+  }
+}
+
+void interleaving_world::recover() {
+  options_.faults = 0;
+  if (instances_[1].owner) {
+    apply({step_kind::give_up, 1});
+  }
+  if (!instances_[0].owner) {
+    apply({step_kind::take, 0});
+  }
+  callers_.push_back({{action_name("payout"), idempotency_key("new")}, caller_state::idle, 0});
+  const std::size_t probe = callers_.size() - 1;
+  // More rounds than the retries of all back-offs need, each a minute long.
+  for (int round = 0; round < 10 && callers_[probe].state != caller_state::holding; ++round) {
+    request_claim_at(probe, 0);
+    while (!requests_.empty() || !results_.empty()) {
+      apply(results_.empty() ? model_step{step_kind::execute, 0}
+                             : model_step{step_kind::deliver, 0});
+    }
+    apply({step_kind::jump, 0});
+    apply({step_kind::wake, 0});
+    apply({step_kind::wake, 1});
+  }
+  check(callers_[probe].state == caller_state::holding, "no claim is granted after the faults");
+}
+
+void interleaving_world::check(bool condition, const std::string& text) {
+  if (!condition && violation_.empty()) {
+    violation_ = text;
+  }
+}
+
+std::vector<model_step> interleaving_world::steps() const {
+  std::vector<model_step> result;
+  platform_steps(result);
+  caller_steps(result);
+  owner_steps(result);
+  return result;
+}
+
+void interleaving_world::platform_steps(std::vector<model_step>& result) const {
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    if (requests_[i].detached) {
+      result.push_back({step_kind::execute_delayed, i});
+      continue;
+    }
+    result.push_back({step_kind::execute, i});
+    const bool is_read = std::holds_alternative<read_object>(requests_[i].effect);
+    if (options_.faults > 0 && !is_read) {
+      result.push_back({step_kind::lose, i});
+      result.push_back({step_kind::delay, i});
+      result.push_back({step_kind::refuse, i});
+    }
+  }
+  for (std::size_t i = 0; i < results_.size(); ++i) {
+    result.push_back({step_kind::deliver, i});
+  }
+}
+
+void interleaving_world::caller_steps(std::vector<model_step>& result) const {
+  for (std::size_t i = 0; i < callers_.size(); ++i) {
+    const caller& one = callers_[i];
+    const bool reports = one.state == caller_state::ran || one.state == caller_state::giving_back;
+    for (std::size_t owner = 0; owner < instances_.size(); ++owner) {
+      if (!instances_[owner].owner || (options_.callers_stay && owner != i)) {
+        continue;
+      }
+      if (one.state == caller_state::idle && one.requests_left > 0) {
+        result.push_back({step_kind::request, i, owner});
+      }
+      if (reports && one.completions_left > 0) {
+        result.push_back({step_kind::complete, i, owner});
+      }
+    }
+    if (one.state == caller_state::waiting && options_.faults > 0) {
+      result.push_back({step_kind::abandon_request, i});
+    }
+    if (one.state == caller_state::holding) {
+      result.push_back({step_kind::run_on_target, i});
+      if (options_.give_backs > 0) {
+        result.push_back({step_kind::give_back, i});
+      }
+    }
+  }
+}
+
+void interleaving_world::owner_steps(std::vector<model_step>& result) const {
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    if (!instances_[i].owner && options_.takeovers > 0) {
+      result.push_back({step_kind::take, i});
+    }
+    if (instances_[i].owner && instances_[1 - i].owner && options_.give_ups > 0) {
+      result.push_back({step_kind::give_up, i});
+    }
+    if (options_.crashes > 0 && instances_[i].owner) {
+      result.push_back({step_kind::crash, i});
+    }
+    const auto wakeup = instances_[i].log->next_wakeup();
+    if (wakeup.has_value() && *wakeup <= clock_.now) {
+      result.push_back({step_kind::wake, i});
+    }
+    const auto status = instances_[i].log->find_operation(callers_[0].operation, clock_.wall);
+    if (options_.resolutions > 0 && status.has_value() && status->in_doubt &&
+        status->resolvable_at_ms <= clock_.wall.time_since_epoch().count()) {
+      result.push_back({step_kind::resolve, i});
+    }
+  }
+  if (options_.jumps > 0) {
+    result.push_back({step_kind::jump, 0});
+  }
+}
+
+void interleaving_world::apply(const model_step& step) {
+  instance& chosen = instances_[step.subject % instances_.size()];
+  switch (step.kind) {
+    case step_kind::take:
+      --options_.takeovers;
+      chosen.owner = true;
+      input(step.subject, "take", chosen.log->take_ownership(clock_));
+      break;
+    case step_kind::give_up:
+      chosen.owner = false;
+      --options_.give_ups;
+      input(step.subject, "give up", chosen.log->give_up_ownership(clock_));
+      break;
+    case step_kind::crash:
+      --options_.crashes;
+      for (request_under_way& request : requests_) {
+        request.detached = request.detached || request.owner == step.subject;
+      }
+      std::erase_if(results_, [&](const auto& result) { return result.owner == step.subject; });
+      restart(step.subject);
+      break;
+    case step_kind::execute:
+    case step_kind::execute_delayed:
+      execute(step.subject, false);
+      break;
+    case step_kind::lose:
+      --options_.faults;
+      execute(step.subject, true);
+      break;
+    case step_kind::delay:
+    case step_kind::refuse: {
+      --options_.faults;
+      request_under_way& request = requests_[step.subject];
+      const std::size_t owner = request.owner;
+      const std::string name = object_of(request.effect);
+      const bool delayed = step.kind == step_kind::delay;
+      request.detached = true;
+      if (!delayed) {
+        requests_.erase(requests_.begin() + static_cast<std::ptrdiff_t>(step.subject));
+      }
+      deliver_result(owner, {delayed ? result_kind::unknown : result_kind::unavailable, name,
+                             std::nullopt, 0});
+      break;
+    }
+    case step_kind::deliver: {
+      const result_under_way result = results_[step.subject];
+      results_.erase(results_.begin() + static_cast<std::ptrdiff_t>(step.subject));
+      deliver_result(result.owner, result.result);
+      break;
+    }
+    case step_kind::request:
+      request_claim_at(step.subject, step.owner);
+      break;
+    case step_kind::abandon_request:
+      --options_.faults;
+      callers_[step.subject].state = caller_state::idle;
+      callers_[step.subject].ticket = 0;
+      break;
+    case step_kind::run_on_target:
+      run_on_target(callers_[step.subject]);
+      break;
+    case step_kind::give_back:
+      --options_.give_backs;
+      callers_[step.subject].state = caller_state::giving_back;
+      callers_[step.subject].outcome = verdict::not_run;
+      break;
+    case step_kind::complete:
+      complete_at(step.subject, step.owner);
+      break;
+    case step_kind::resolve:
+      --options_.resolutions;
+      resolve_at(step.subject);
+      break;
+    case step_kind::jump:
+      --options_.jumps;
+      clock_.now += options_.jump;
+      clock_.wall += std::chrono::duration_cast<std::chrono::milliseconds>(options_.jump);
+      break;
+    case step_kind::wake:
+      input(step.subject, "wake", chosen.log->tick(clock_));
+      check(chosen.log->next_wakeup().value_or(time_point::max()) > clock_.now,
+            "a timer is due again at once");
+      break;
+  }
+}
+
+void interleaving_world::input(std::size_t owner, const std::string& text, shard_effects effects) {
+  instance& one = instances_[owner];
+  one.history =
+      mix(one.history, text + "@" + std::to_string(clock_.now.time_since_epoch().count()));
+  for (const shard_effect& effect : effects) {
+    handle(owner, effect);
+  }
+}
+
+void interleaving_world::handle(std::size_t owner, const shard_effect& effect) {
+  if (const auto* claimed = std::get_if<answer_claim>(&effect)) {
+    handle_claim(*claimed);
+  } else if (const auto* completed = std::get_if<answer_completion>(&effect)) {
+    handle_completion(*completed);
+  } else if (std::holds_alternative<delete_objects>(effect)) {
+    platform_.execute(effect);
+  } else if (!std::holds_alternative<answer_resolution>(effect)) {
+    platform_request(owner, effect);
+  }
+}
+
+void interleaving_world::platform_request(std::size_t owner, const shard_effect& effect) {
+  instance& one = instances_[owner];
+  const auto* create = std::get_if<create_object>(&effect);
+  if (create != nullptr) {
+    one.written_name = create->name;
+    one.written_content = create->content;
+  }
+  const bool early = create != nullptr && one.log->active() &&
+                     options_.disabled == disabled_mechanism::durable_before_grant;
+  requests_.push_back({owner, effect, early});
+  if (early) {
+    deliver_result(owner, {result_kind::created, create->name, std::nullopt, 0});
+  }
+}
+
+void interleaving_world::execute(std::size_t position, bool response_lost) {
+  const request_under_way request = requests_[position];
+  requests_.erase(requests_.begin() + static_cast<std::ptrdiff_t>(position));
+  platform_result result = *platform_.execute(request.effect);
+  if (request.detached) {
+    return;
+  }
+  if (response_lost) {
+    deliver_result(request.owner, {result_kind::unknown, result.name, std::nullopt, 0});
+  } else if (result.kind == result_kind::read) {
+    // A stale read is the same as a pause before the operation that follows it.
+    deliver_result(request.owner, std::move(result));
+  } else {
+    results_.push_back({request.owner, std::move(result)});
+  }
+}
+
+void interleaving_world::deliver_result(std::size_t owner, platform_result result) {
+  instance& one = instances_[owner];
+  const bool has_content = result.content.has_value();
+  if (options_.disabled == disabled_mechanism::nonce_comparison && has_content &&
+      result.name == one.written_name) {
+    result.content = one.written_content;
+  }
+  if (options_.disabled == disabled_mechanism::header_check && one.log->active() &&
+      result.kind == result_kind::read && result.name == checkpoint_object_name(0)) {
+    result.content.reset();
+  }
+  if (result.kind == result_kind::created) {
+    one.written_name.clear();
+  }
+  input(owner, content_of(result), deliver(*one.log, result, clock_));
+}
+
+void interleaving_world::request_claim_at(std::size_t caller_number, std::size_t owner) {
+  caller& one = callers_[caller_number];
+  --one.requests_left;
+  one.state = caller_state::waiting;
+  one.ticket = ++last_ticket_;
+  const claim_parameters parameters{one.operation, digest_of("100"),
+                                    clock_.wall + options_.deadline};
+  input(owner, "claim" + std::to_string(one.ticket) + one.operation.key.str(),
+        instances_[owner].log->request_claim(one.ticket, parameters, clock_));
+}
+
+void interleaving_world::handle_claim(const answer_claim& answer) {
+  const claim_reply& reply = answer.reply;
+  ++decisions_[reply.decision];
+  check(answered_.insert(answer.ticket).second, "a request was answered twice");
+  const auto found = std::find_if(callers_.begin(), callers_.end(), [&](const caller& one) {
+    return one.ticket == answer.ticket && one.state == caller_state::waiting;
+  });
+  if (found == callers_.end()) {
+    return;
+  }
+  found->state = caller_state::idle;
+  if (reply.decision == claim_decision::granted) {
+    check(reply.granted->operation == found->operation, "the claim is for another operation");
+    found->state = caller_state::holding;
+    found->held = reply.granted;
+  } else if (reply.decision == claim_decision::answered) {
+    const auto& answers = executions_[found->operation];
+    check(answers.size() == 1, "an answer was repeated of an operation that did not run once");
+    check(!answers.empty() &&
+              (reply.answer->body.bytes == answers.front() || reply.answer->status == 410),
+          "the recorded answer belongs to another operation");
+    found->state = caller_state::finished;
+  }
+}
+
+void interleaving_world::run_on_target(caller& runner) {
+  if (clock_.wall.time_since_epoch().count() >= runner.held->expires_at_ms) {
+    runner.state = caller_state::giving_back;
+    runner.outcome = verdict::not_run;
+    return;
+  }
+  auto& answers = executions_[runner.operation];
+  answers.push_back("answer to " + runner.held->id.str());
+  check(answers.size() == 1, "an operation was executed twice");
+  runner.state = caller_state::ran;
+  runner.outcome = verdict::ran;
+}
+
+void interleaving_world::complete_at(std::size_t caller_number, std::size_t owner) {
+  caller& one = callers_[caller_number];
+  --one.completions_left;
+  // A holder that expects no second answer goes on; tickets of completions are above those of
+  // claims.
+  const ticket_number ticket = 1000 + caller_number;
+  const bool back = one.outcome == verdict::not_run;
+  one.state = caller_state::completing;
+  input(owner, "complete" + std::to_string(caller_number) + (back ? "back" : "ran"),
+        instances_[owner].log->complete(
+            ticket, one.held->id, one.operation, one.outcome,
+            recorded_answer{200, "text/plain", byte_string{"answer to " + one.held->id.str()}},
+            clock_));
+}
+
+void interleaving_world::handle_completion(const answer_completion& answer) {
+  caller& one = callers_[answer.ticket - 1000];
+  const bool back = one.outcome == verdict::not_run;
+  if (answer.recorded) {
+    one.state = caller_state::idle;
+  } else {
+    one.state = back ? caller_state::giving_back : caller_state::ran;
+  }
+}
+
+void interleaving_world::resolve_at(std::size_t owner) {
+  const operation_key& operation = callers_[0].operation;
+  const bool ran = !executions_[operation].empty();
+  input(owner, ran ? "resolve ran" : "resolve not run",
+        instances_[owner].log->resolve(5000, operation, {ran, std::nullopt}, clock_));
+}
+
+std::uint64_t interleaving_world::state_digest() const {
+  std::uint64_t digest = mix(0, std::to_string(clock_.now.time_since_epoch().count()));
+  const auto add = [&](std::string_view text) { digest = mix(digest, text); };
+  const auto number = [&](std::uint64_t value) { add(std::to_string(value)); };
+  for (const instance& one : instances_) {
+    number(one.history);
+    number(static_cast<std::uint64_t>(one.owner));
+    add(one.written_name);
+  }
+  for (const auto& [name, object] : platform_.objects) {
+    add(name);
+    add(object.first);
+  }
+  std::multiset<std::string> under_way;
+  for (const auto& request : requests_) {
+    under_way.insert((request.detached ? "d" : "r") + std::to_string(request.owner) +
+                     content_of(request.effect));
+  }
+  for (const auto& result : results_) {
+    under_way.insert("a" + std::to_string(result.owner) + content_of(result.result));
+  }
+  for (const std::string& text : under_way) {
+    add(text);
+  }
+  for (const caller& one : callers_) {
+    number(static_cast<std::uint64_t>(one.state));
+    number(static_cast<std::uint64_t>(one.requests_left * 10 + one.completions_left));
+    number(one.ticket);
+    add(one.held.has_value() ? one.held->id.str() : "");
+  }
+  for (const auto& [operation, answers] : executions_) {
+    number(answers.size());
+  }
+  for (const int left : {options_.faults, options_.crashes, options_.jumps, options_.takeovers,
+                         options_.give_backs, options_.resolutions, options_.give_ups}) {
+    number(static_cast<std::uint64_t>(left));
+  }
+  return digest;
+}
+
+}  // namespace crocusdoor::testing
