--- a/Source/admission/admission_controller.cpp
+++ b/Source/admission/admission_controller.cpp
@@ -1,6 +1,7 @@
 #include "admission/admission_controller.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace crocusdoor {
@@ -70,11 +71,10 @@
   if (running_.contains(ticket)) {
     return {cancel_outcome::was_running, {}};
   }
-  const auto removed =
-      std::erase_if(queue_, [&](const auto& waiting) { return waiting.request.ticket == ticket; });
-  if (removed == 0) {
+  if (waiting_.erase(ticket) == 0) {
     return {};
   }
+  std::erase_if(queue_, [&](const auto& waiting) { return waiting.request.ticket == ticket; });
   return {cancel_outcome::was_waiting, settle(now)};
 }
 
@@ -172,19 +172,23 @@
 }
 
 bool admission_controller::known(admission_ticket ticket) const {
-  return running_.contains(ticket) ||
-         std::any_of(queue_.begin(), queue_.end(),
-                     [&](const auto& waiting) { return waiting.request.ticket == ticket; });
+  return running_.contains(ticket) || waiting_.contains(ticket);
 }
 
 void admission_controller::enqueue(const admission_request& request) {
   const std::uint64_t arrival = ++arrivals_;
   const waiting_outlook key = order_key(request, arrival);
-  const auto place =
-      std::find_if(queue_.begin(), queue_.end(), [&](const waiting_request& waiting) {
-        return policy_.order->before(key, order_key(waiting.request, waiting.arrival));
-      });
+  // Searched from the back, where most requests belong.
+  auto place = queue_.end();
+  while (place != queue_.begin()) {
+    const waiting_request& previous = *std::prev(place);
+    if (!policy_.order->before(key, order_key(previous.request, previous.arrival))) {
+      break;
+    }
+    --place;
+  }
   queue_.insert(place, {request, arrival});
+  waiting_.insert(request.ticket);
 }
 
 void admission_controller::start(const admission_request& request, time_point now) {
@@ -193,14 +197,18 @@
 }
 
 void admission_controller::refuse_infeasible(time_point now, admission_changes& changes) {
+  if (queue_.empty() || policy_.feasibility->accepts_all()) {
+    return;
+  }
   const std::vector<waiting_outlook> expected = outlooks(now);
-  const duration delay = queue_.empty() ? duration(0) : retry_after(now);
+  const duration delay = retry_after(now);
   std::size_t kept = 0;
   for (std::size_t i = 0; i < queue_.size(); ++i) {
     if (policy_.feasibility->feasible(expected[i], now)) {
       std::swap(queue_[kept++], queue_[i]);
       continue;
     }
+    waiting_.erase(queue_[i].request.ticket);
     const bool expired = queue_[i].request.deadline <= now;
     changes.refused.push_back(
         {queue_[i].request.ticket,
@@ -214,6 +222,7 @@
     const std::size_t victim = policy_.shedding->victim(outlooks(now), now);
     changes.refused.push_back(
         {queue_[victim].request.ticket, refusal_reason::queue_full, retry_after(now)});
+    waiting_.erase(queue_[victim].request.ticket);
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(victim));
   }
 }
@@ -223,6 +232,7 @@
   while (next < queue_.size() && running_.size() < static_cast<std::size_t>(policy_.slots)) {
     if (may_start(queue_[next], now)) {
       changes.started.push_back(queue_[next].request.ticket);
+      waiting_.erase(queue_[next].request.ticket);
       start(queue_[next].request, now);
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(next));
     } else if (queue_[next].request.isolated) {
--- a/Source/admission/admission_controller.h
+++ b/Source/admission/admission_controller.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "admission/admission_policy.h"
@@ -86,7 +88,8 @@
 
   admission_policy policy_;
   service_time_history history_;
-  std::vector<waiting_request> queue_;  // in starting order
+  std::deque<waiting_request> queue_;             // in starting order
+  std::unordered_set<admission_ticket> waiting_;  // tickets in the queue
   std::unordered_map<admission_ticket, running_request> running_;
   std::uint64_t arrivals_ = 0;
   int isolated_running_ = 0;
--- a/Source/admission/admission_policy.h
+++ b/Source/admission/admission_policy.h
@@ -49,6 +49,8 @@
   virtual ~feasibility_rule() = default;
   /// Whether the request may still finish before its deadline.
   [[nodiscard]] virtual bool feasible(const waiting_outlook& outlook, time_point now) const = 0;
+  /// Whether `feasible` is always true, so that the estimates need not be made.
+  [[nodiscard]] virtual bool accepts_all() const { return false; }
 };
 
 /// Refuses what is expected to end after its deadline.
@@ -65,6 +67,7 @@
 /// Keeps every request, also past its deadline (baseline).
 class no_feasibility_limit final : public feasibility_rule {
  public:
+  [[nodiscard]] bool accepts_all() const override { return true; }
   [[nodiscard]] bool feasible(const waiting_outlook& outlook, time_point now) const override;
 };
 
