--- a/Source/daemon/membership_service.cpp
+++ b/Source/daemon/membership_service.cpp
@@ -202,19 +202,15 @@
 }
 
 void membership_service::compare_with(const instance_name& peer, bool reply) {
-  const auto& own = directory_.bucket_fingerprints();
-  mesh_.send(peer, wire::records_request{{own.begin(), own.end()}, reply});
+  mesh_.send(peer, wire::records_request{directory_.bucket_fingerprints(), reply});
 }
 
 void membership_service::answer_comparison(const instance_name& from,
                                            const wire::records_request& request) {
-  directory::fingerprints theirs{};
-  std::copy_n(request.fingerprints.begin(), std::min(request.fingerprints.size(), theirs.size()),
-              theirs.begin());
-  if (theirs == directory_.bucket_fingerprints()) {
+  if (request.fingerprints == directory_.bucket_fingerprints()) {
     return;
   }
-  std::vector<instance_record> differing = directory_.differing(theirs);
+  std::vector<instance_record> differing = directory_.differing(request.fingerprints);
   if (!differing.empty()) {
     mesh_.send(from, wire::records{std::move(differing)});
   }
