Notice that a client has closed its connection while it waits

Cause: evhttp stops reading from a connection until its request is answered, so http_exchange::on_disconnect never ran for a waiting request; the tests of the stand-ins' watch and of cancelled executions failed on this (no notice within 10 s).

Change: each unanswered exchange watches its socket for the closing of the other side (EV_CLOSED). A client that only shuts down its sending side counts as gone too. http_server takes the body limit as an argument, because evhttp closes the connection of a request above its own limit and the client may see a reset instead of status 413.

--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -74,6 +74,31 @@
     : raw_(raw), request_(std::move(received)) {
   evhttp_connection_set_closecb(evhttp_request_get_connection(raw),
                                 &http_exchange::connection_closed, this);
+  watch_for_close();
+}
+
+/// evhttp does not read from a connection while its request is unanswered, so it does not notice
+/// that the client has gone.
+void http_exchange::watch_for_close() {
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  close_watch_ = event_new(evhttp_connection_get_base(connection),
+                           bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+                           EV_CLOSED, &http_exchange::peer_closed, this);
+  event_add(close_watch_, nullptr);
+}
+
+void http_exchange::peer_closed(int, short, void* context) {
+  auto* exchange = static_cast<http_exchange*>(context);
+  evhttp_connection_free(evhttp_request_get_connection(exchange->raw_));
+}
+
+/// Ends the exchange's interest in its connection.
+evhttp_connection* http_exchange::detach() {
+  event_free(close_watch_);
+  close_watch_ = nullptr;
+  evhttp_connection* connection = evhttp_request_get_connection(raw_);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  return connection;
 }
 
 http_exchange::~http_exchange() {
@@ -88,7 +113,7 @@
   }
   answered_ = true;
   disconnect_action_ = nullptr;
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw_), nullptr, nullptr);
+  detach();
   evkeyvalq* headers = evhttp_request_get_output_headers(raw_);
   for (const auto& [name, value] : answer.headers) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
@@ -105,14 +130,15 @@
   }
   answered_ = true;
   disconnect_action_ = nullptr;
-  evhttp_connection* connection = evhttp_request_get_connection(raw_);
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  evhttp_connection* connection = detach();
   raw_ = nullptr;
   evhttp_connection_free(connection);
 }
 
 void http_exchange::connection_closed(evhttp_connection*, void* context) {
   auto* exchange = static_cast<http_exchange*>(context);
+  event_free(exchange->close_watch_);
+  exchange->close_watch_ = nullptr;
   exchange->raw_ = nullptr;
   const std::function<void()> action = std::move(exchange->disconnect_action_);
   if (action) {
@@ -133,11 +159,12 @@
   }
 };
 
-http_server::http_server(event_loop& loop, const ip_endpoint& local, handler on_request)
+http_server::http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
+                         std::size_t body_limit_bytes)
     : state_(std::make_unique<state>()) {
   state_->on_request = std::move(on_request);
   state_->server = evhttp_new(loop.base());
-  evhttp_set_max_body_size(state_->server, http_body_limit_bytes);
+  evhttp_set_max_body_size(state_->server, static_cast<ev_ssize_t>(body_limit_bytes));
   evhttp_set_max_headers_size(state_->server, http_headers_limit_bytes);
   evhttp_set_timeout(state_->server, idle_timeout_s);
   evhttp_set_allowed_methods(state_->server, allowed_methods);
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -9,6 +9,7 @@
 
 struct evhttp_connection;
 struct evhttp_request;
+struct event;
 
 namespace crocusdoor {
 
@@ -29,14 +30,19 @@
   /// Closes the connection without an answer. Not to be called from within the server's handler;
   /// post it to the loop.
   void close();
-  /// Calls `action` if the client closes its connection before the answer is sent.
+  /// Calls `action` if the client closes its connection, or its sending side, before the answer is
+  /// sent.
   void on_disconnect(std::function<void()> action) { disconnect_action_ = std::move(action); }
 
  private:
   friend class http_server;
   static void connection_closed(evhttp_connection* connection, void* context);
+  static void peer_closed(int descriptor, short kind, void* context);
+  void watch_for_close();
+  evhttp_connection* detach();
 
   evhttp_request* raw_;
+  event* close_watch_ = nullptr;
   http_request request_;
   bool answered_ = false;
   std::function<void()> disconnect_action_;
@@ -47,8 +53,10 @@
  public:
   using handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
 
-  /// Throws std::runtime_error if the endpoint cannot be bound.
-  http_server(event_loop& loop, const ip_endpoint& local, handler on_request);
+  /// A request with a larger body is answered with status 413 before it reaches the handler. Throws
+  /// std::runtime_error if the endpoint cannot be bound.
+  http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
+              std::size_t body_limit_bytes = http_body_limit_bytes);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
