--- a/Source/stand_ins/platform_server.cpp
+++ b/Source/stand_ins/platform_server.cpp
@@ -18,6 +18,9 @@
 using exchange_pointer = std::shared_ptr<http_exchange>;
 
 constexpr std::size_t value_limit_bytes = 1'000'000;
+/// Above the limit of a value, so that a value that is too large is read and then refused. evhttp
+/// closes the connection of a request above its limit, and the client may lose the answer.
+constexpr std::size_t request_limit_bytes = 4 * value_limit_bytes;
 /// JSON escapes at most double a JSON value, so a listing stays below the HTTP client's limit.
 constexpr std::size_t listing_limit_bytes = 400'000;
 constexpr std::size_t listing_limit_objects = 1'000;
@@ -318,7 +321,8 @@
     : state_(std::make_unique<state>(loop)) {
   state_->server = std::make_unique<http_server>(
       loop, local,
-      [raw = state_.get()](const exchange_pointer& exchange) { raw->receive(exchange); });
+      [raw = state_.get()](const exchange_pointer& exchange) { raw->receive(exchange); },
+      request_limit_bytes);
 }
 
 platform_server::~platform_server() {
