Compute the digest of a version from those of its resources

Each adoption encoded the whole configuration (501 KB at 320 services) to check the digest, although a change touches a few resources. Paths of problems are built only when there is a problem. The property test compares the fingerprints of each adopted version with fresh ones and the size with the encoded size.

--- a/Source/configuration/configuration_holder.cpp
+++ b/Source/configuration/configuration_holder.cpp
@@ -110,21 +110,22 @@
 }
 
 adoption_result configuration_holder::adopt(snapshot content, const digest& content_digest) {
-  const std::string encoded = encode_snapshot(content);
-  if (digest_of(encoded) != content_digest) {
+  snapshot_pointer next = share_snapshot(std::move(content), current_.get());
+  const snapshot_fingerprints& fingerprints = next->index.fingerprints();
+  if (fingerprints.content_digest != content_digest) {
     return {adoption::digest_mismatch, "the content does not have the digest that came with it"};
   }
-  if (encoded.size() > snapshot_size_limit_bytes) {
-    return {adoption::invalid, "the configuration has " + std::to_string(encoded.size()) +
-                                   " bytes; " + std::to_string(snapshot_size_limit_bytes) +
-                                   " are accepted"};
+  if (fingerprints.encoded_size > snapshot_size_limit_bytes) {
+    return {adoption::invalid, "the configuration has " +
+                                   std::to_string(fingerprints.encoded_size) + " bytes; " +
+                                   std::to_string(snapshot_size_limit_bytes) + " are accepted"};
   }
-  const std::vector<decode_problem> problems = validate(content);
+  const std::vector<decode_problem> problems = validate(*next);
   if (!problems.empty()) {
     return {adoption::invalid, describe_problems(problems)};
   }
-  remember(delta_between(*current_, content, content_digest));
-  current_ = share_snapshot(std::move(content));
+  remember(delta_between(*current_, *next, content_digest));
+  current_ = std::move(next);
   current_digest_ = content_digest;
   return {adoption::adopted, {}};
 }
--- a/Source/configuration/head_document.cpp
+++ b/Source/configuration/head_document.cpp
@@ -52,13 +52,13 @@
 
 std::vector<decode_problem> validate(const head_document& head) {
   std::vector<decode_problem> problems = validate(head.content);
-  const std::string encoded = encode_snapshot(head.content);
-  if (encoded.size() > snapshot_size_limit_bytes) {
-    problems.push_back({"/content", "the content has " + std::to_string(encoded.size()) +
+  const snapshot_fingerprints fingerprints = fingerprints_of(head.content);
+  if (fingerprints.encoded_size > snapshot_size_limit_bytes) {
+    problems.push_back({"/content", "the content has " + std::to_string(fingerprints.encoded_size) +
                                         " bytes; " + std::to_string(snapshot_size_limit_bytes) +
                                         " are accepted"});
   }
-  if (digest_of(encoded) != head.content_digest) {
+  if (fingerprints.content_digest != head.content_digest) {
     problems.push_back({"/digest", "the digest does not match the content"});
   }
   check_changes(head, problems);
--- a/Source/configuration/intent.cpp
+++ b/Source/configuration/intent.cpp
@@ -53,7 +53,7 @@
       if (const auto& removed = one.*(type.remove); removed.has_value()) {
         ++members;
         const std::string place = path + "/remove_" + kind;
-        detail::check_name(place, removed->str(), problems_);
+        detail::check_name(place, "", removed->str(), problems_);
         check_named_once(place, kind, removed->str());
       }
     });
--- a/Source/configuration/plan.cpp
+++ b/Source/configuration/plan.cpp
@@ -83,14 +83,14 @@
 
 leaf::result<effect> effect_of(const snapshot& base, const intent_document& document) {
   BOOST_LEAF_AUTO(content, apply_intents(base, document));
-  const std::string encoded = encode_snapshot(content);
-  if (encoded.size() > snapshot_size_limit_bytes) {
+  snapshot_fingerprints fingerprints = fingerprints_of(content);
+  if (fingerprints.encoded_size > snapshot_size_limit_bytes) {
     return leaf::new_error(failure{
-        error_code::over_limit, "the configuration would have " + std::to_string(encoded.size()) +
-                                    " bytes; " + std::to_string(snapshot_size_limit_bytes) +
-                                    " are accepted"});
+        error_code::over_limit, "the configuration would have " +
+                                    std::to_string(fingerprints.encoded_size) + " bytes; " +
+                                    std::to_string(snapshot_size_limit_bytes) + " are accepted"});
   }
-  return effect{std::move(content), digest_of(encoded)};
+  return effect{std::move(content), std::move(fingerprints.content_digest)};
 }
 
 std::vector<std::string> sentences_of(const std::vector<resource_change>& changes,
--- a/Source/configuration/resource_rules.cpp
+++ b/Source/configuration/resource_rules.cpp
@@ -60,19 +60,19 @@
              record_fields<Record>::table);
 }
 
-void check_text(const std::string& path, const std::string& text,
+void check_text(const std::string& path, const char* member, const std::string& text,
                 std::vector<decode_problem>& problems) {
   if (text.size() > text_length_limit || !is_utf8(text)) {
-    problems.push_back({path, "a text has at most " + std::to_string(text_length_limit) +
-                                  " bytes of valid UTF-8"});
+    problems.push_back({path + member, "a text has at most " + std::to_string(text_length_limit) +
+                                           " bytes of valid UTF-8"});
   }
 }
 
 void check_decision(const std::string& path, const decision_record& decision,
                     std::vector<decode_problem>& problems) {
-  check_text(path + "/decided_by", decision.decided_by, problems);
-  check_text(path + "/decided_on", decision.decided_on, problems);
-  check_text(path + "/reason", decision.reason, problems);
+  check_text(path, "/decision/decided_by", decision.decided_by, problems);
+  check_text(path, "/decision/decided_on", decision.decided_on, problems);
+  check_text(path, "/decision/reason", decision.reason, problems);
 }
 
 void check_prefix(const std::string& path, const std::string& prefix,
@@ -93,49 +93,50 @@
     return !name.empty() && std::all_of(name.begin(), name.end(), accepted);
   };
   const auto is_digit = [](char character) { return character >= '0' && character <= '9'; };
-  const std::string place = path + "/key_name";
   if (one.key_in == key_location::path_segment && !(consists_of(is_digit) && name.size() <= 3)) {
-    problems.push_back({place, "a path segment is given by its number, counted from 0"});
+    problems.push_back(
+        {path + "/key_name", "a path segment is given by its number, counted from 0"});
   } else if (one.key_in == key_location::header && !consists_of(is_header_name_character)) {
-    problems.push_back({place, "the name of an HTTP header is expected"});
+    problems.push_back({path + "/key_name", "the name of an HTTP header is expected"});
   } else if (name.empty()) {
-    problems.push_back({place, "the idempotency key needs a name"});
+    problems.push_back({path + "/key_name", "the idempotency key needs a name"});
   } else {
-    check_text(place, name, problems);
+    check_text(path, "/key_name", name, problems);
   }
 }
 
 }  // namespace
 
-void check_name(const std::string& path, const std::string& name,
+void check_name(const std::string& path, const char* member, const std::string& name,
                 std::vector<decode_problem>& problems) {
   const bool characters_ok = std::all_of(name.begin(), name.end(), is_name_character);
   if (name.empty() || name.size() > name_length_limit || !characters_ok) {
     problems.push_back(
-        {path, "a name has 1 to 128 letters, digits, hyphens, underscores and full stops"});
+        {path + member,
+         "a name has 1 to 128 letters, digits, hyphens, underscores and full stops"});
   }
 }
 
 void check_resource(const std::string& path, const service& one,
                     std::vector<decode_problem>& problems) {
-  check_name(path + "/name", one.name.str(), problems);
+  check_name(path, "/name", one.name.str(), problems);
   check_ranges(path, one, problems);
-  check_decision(path + "/decision", one.decision, problems);
+  check_decision(path, one.decision, problems);
 }
 
 void check_resource(const std::string& path, const route& one,
                     std::vector<decode_problem>& problems) {
-  check_name(path + "/name", one.name.str(), problems);
+  check_name(path, "/name", one.name.str(), problems);
   check_prefix(path, one.path_prefix, problems);
-  check_name(path + "/service", one.service.str(), problems);
+  check_name(path, "/service", one.service.str(), problems);
   check_ranges(path, one, problems);
-  check_decision(path + "/decision", one.decision, problems);
+  check_decision(path, one.decision, problems);
 }
 
 void check_resource(const std::string& path, const run_once_action& one,
                     std::vector<decode_problem>& problems) {
-  check_name(path + "/name", one.name.str(), problems);
-  check_name(path + "/service", one.service.str(), problems);
+  check_name(path, "/name", one.name.str(), problems);
+  check_name(path, "/service", one.service.str(), problems);
   const bool method_ok = !one.method.empty() && one.method.size() <= 32 &&
                          std::all_of(one.method.begin(), one.method.end(),
                                      [](char c) { return c >= 'A' && c <= 'Z'; });
@@ -145,7 +146,7 @@
   check_prefix(path, one.path_prefix, problems);
   check_key_name(path, one, problems);
   check_ranges(path, one, problems);
-  check_decision(path + "/decision", one.decision, problems);
+  check_decision(path, one.decision, problems);
 }
 
 }  // namespace crocusdoor::detail
--- a/Source/configuration/resource_rules.h
+++ b/Source/configuration/resource_rules.h
@@ -19,8 +19,9 @@
 void check_resource(const std::string& path, const run_once_action& one,
                     std::vector<decode_problem>& problems);
 
-/// Adds a problem unless `name` is accepted as the name of a resource.
-void check_name(const std::string& path, const std::string& name,
+/// Adds a problem unless `name`, which stands at the pointer `member` below `path`, is accepted as
+/// the name of a resource.
+void check_name(const std::string& path, const char* member, const std::string& name,
                 std::vector<decode_problem>& problems);
 
 }  // namespace crocusdoor::detail
--- a/Source/configuration/snapshot.cpp
+++ b/Source/configuration/snapshot.cpp
@@ -93,9 +93,9 @@
 
 }  // namespace
 
-snapshot_pointer share_snapshot(snapshot content) {
+snapshot_pointer share_snapshot(snapshot content, const snapshot* similar) {
   auto shared = std::make_shared<snapshot>(std::move(content));
-  shared->index.build(*shared);
+  shared->index.build(*shared, similar);
   return shared;
 }
 
@@ -105,7 +105,8 @@
 }
 
 digest digest_of(const snapshot& content) {
-  return digest_of(encode_snapshot(content));
+  return content.index.built() ? content.index.fingerprints().content_digest
+                               : fingerprints_of(content).content_digest;
 }
 
 std::vector<decode_problem> validate(const snapshot& content) {
--- a/Source/configuration/snapshot.h
+++ b/Source/configuration/snapshot.h
@@ -48,17 +48,19 @@
 
 using snapshot_pointer = std::shared_ptr<const snapshot>;
 
-/// Puts a snapshot behind a shared pointer and builds its index.
-[[nodiscard]] snapshot_pointer share_snapshot(snapshot content);
+/// Puts a snapshot behind a shared pointer and builds its index. The index of a snapshot with
+/// mostly the same resources, usually the previous version, makes this faster.
+[[nodiscard]] snapshot_pointer share_snapshot(snapshot content, const snapshot* similar = nullptr);
 
-/// The encoded form that is stored, sent and counted against the size limit: JSON with sorted keys.
+/// The encoded form whose size counts against the limit: JSON with sorted keys.
 [[nodiscard]] std::string encode_snapshot(const snapshot& content);
 
-/// Digest of the whole content, the version included: the digest of `encode_snapshot`.
+/// Digest of the whole content, the version included. Costs the encoding of the whole content
+/// unless the index is built.
 [[nodiscard]] digest digest_of(const snapshot& content);
 
-/// Every rule that the content breaks; empty for a valid configuration. The size limit is not
-/// checked here but where the encoded form is at hand.
+/// Every rule that the content breaks, except the size limit, which is compared with
+/// `snapshot_fingerprints::encoded_size`; empty for a valid configuration.
 [[nodiscard]] std::vector<decode_problem> validate(const snapshot& content);
 
 /// Decodes and validates a whole snapshot. Fails with `error_code::malformed`, `invalid` or
--- a/Source/configuration/snapshot_index.cpp
+++ b/Source/configuration/snapshot_index.cpp
@@ -4,7 +4,7 @@
 
 namespace crocusdoor {
 
-void snapshot_index::build(const snapshot& content) {
+void snapshot_index::build(const snapshot& content, const snapshot* similar) {
   auto built = std::make_unique<tables>();
   for (const auto& [name, one] : content.routes) {
     built->routes.insert(one.path_prefix, &one);
@@ -12,6 +12,9 @@
   for (const auto& [name, one] : content.actions) {
     built->actions[{one.service.str(), one.method}].insert(one.path_prefix, &one);
   }
+  built->fingerprints = similar != nullptr && similar->index.built()
+                            ? fingerprints_of(content, *similar, similar->index.fingerprints())
+                            : fingerprints_of(content);
   tables_ = std::move(built);
 }
 
--- a/Source/configuration/snapshot_index.h
+++ b/Source/configuration/snapshot_index.h
@@ -8,13 +8,15 @@
 #include "configuration/prefix_table.h"
 #include "configuration/route.h"
 #include "configuration/run_once_action.h"
+#include "configuration/snapshot_fingerprints.h"
 
 namespace crocusdoor {
 
 struct snapshot;
 
-/// Compiled tables of the routes and actions of one snapshot. It points into that snapshot, so a
-/// copied or moved snapshot starts without one, and it is no part of the snapshot's value.
+/// Compiled tables of the routes and actions of one snapshot, and its fingerprints. It points into
+/// that snapshot, so a copied or moved snapshot starts without one, and it is no part of the
+/// snapshot's value.
 class snapshot_index {
  public:
   snapshot_index() = default;
@@ -30,12 +32,15 @@
   }
   ~snapshot_index() = default;
 
-  /// Builds the tables of the snapshot that holds this index. The snapshot must not change
-  /// afterwards.
-  void build(const snapshot& content);
+  /// Builds the index of the snapshot that holds it. The snapshot must not change afterwards.
+  /// `similar`, if its index is built, saves the encoding of the resources that are equal.
+  void build(const snapshot& content, const snapshot* similar = nullptr);
 
   [[nodiscard]] bool built() const noexcept { return tables_ != nullptr; }
 
+  /// Digest and size of the snapshot; the index must be built.
+  [[nodiscard]] const snapshot_fingerprints& fingerprints() const { return tables_->fingerprints; }
+
   /// As `crocusdoor::find_route`; the index must be built.
   [[nodiscard]] const route* find_route(std::string_view path) const;
 
@@ -53,6 +58,7 @@
     detail::prefix_table<route> routes;
     std::map<std::pair<std::string_view, std::string_view>, detail::prefix_table<run_once_action>>
         actions;  ///< By service and method.
+    snapshot_fingerprints fingerprints;
   };
 
   std::unique_ptr<const tables> tables_;
--- a/Tests/configuration/convergence_property_test.cpp
+++ b/Tests/configuration/convergence_property_test.cpp
@@ -111,6 +111,8 @@
     REQUIRE((outcome == adoption::adopted || now == before));
     REQUIRE(outcome != adoption::invalid);
     REQUIRE(*now == history_.at(now->version));
+    REQUIRE(now->index.fingerprints() == fingerprints_of(history_.at(now->version)));
+    REQUIRE(now->index.fingerprints().encoded_size == encode_snapshot(*now).size());
     for (const auto& [name, routed] : now->routes) {
       REQUIRE(now->services.contains(routed.service));
     }
