--- a/Source/configuration/document_parser.cpp
+++ b/Source/configuration/document_parser.cpp
@@ -104,7 +104,8 @@
 /// token.
 class document_builder : public nlohmann::json_sax<json> {
  public:
-  explicit document_builder(std::string_view text) : text_(text), positions_(text) {
+  document_builder(std::string_view text, position_tracking tracking)
+      : text_(text), tracking_(tracking), positions_(text) {
     constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
     token_end_ = text.starts_with(byte_order_mark) ? byte_order_mark.size() : 0;
   }
@@ -167,12 +168,6 @@
         holder.pointer, holder.value.is_array() ? std::to_string(holder.value.size()) : holder.key);
   }
 
-  std::size_t start_token(const std::string& pointer) {
-    const std::size_t start = skip_separators(text_, token_end_);
-    result_.positions[pointer] = positions_.at(start);
-    return start;
-  }
-
   void attach(json value) {
     if (open_.empty()) {
       result_.value = std::move(value);
@@ -184,10 +179,15 @@
   }
 
   bool add_scalar(json value, bool is_number) {
-    const std::size_t start = start_token(next_pointer());
+    const std::size_t start = token_end_;
     token_end_ = consumed_;
-    if (is_number) {  // The lexer has read the character after a number already.
-      token_end_ = std::min(text_.find_first_not_of("+-.0123456789eE", start), text_.size());
+    if (tracking_ == position_tracking::kept) {
+      const std::size_t value_start = skip_separators(text_, start);
+      result_.positions[next_pointer()] = positions_.at(value_start);
+      if (is_number) {  // The lexer has read the character after a number already.
+        token_end_ =
+            std::min(text_.find_first_not_of("+-.0123456789eE", value_start), text_.size());
+      }
     }
     attach(std::move(value));
     return true;
@@ -195,7 +195,10 @@
 
   bool open(json empty) {
     std::string pointer = next_pointer();
-    const std::size_t start = start_token(pointer);
+    const std::size_t start = skip_separators(text_, token_end_);
+    if (tracking_ == position_tracking::kept) {
+      result_.positions[pointer] = positions_.at(start);
+    }
     if (open_.size() == document_depth_limit) {
       report(start, pointer,
              "nested too deeply; " + std::to_string(document_depth_limit) + " levels are accepted");
@@ -215,6 +218,7 @@
   }
 
   std::string_view text_;
+  position_tracking tracking_;
   position_counter positions_;
   std::size_t consumed_ = 0;
   std::size_t token_end_ = 0;
@@ -239,13 +243,13 @@
   }
 }
 
-leaf::result<parsed_document> parse_document(std::string_view text) {
+leaf::result<parsed_document> parse_document(std::string_view text, position_tracking tracking) {
   if (text.size() > document_size_limit_bytes) {
     return leaf::new_error(failure{
         error_code::over_limit, "the document has " + std::to_string(text.size()) + " bytes; " +
                                     std::to_string(document_size_limit_bytes) + " are accepted"});
   }
-  document_builder builder(text);
+  document_builder builder(text, tracking);
   const bool complete =
       json::sax_parse(counting_iterator(text, 0, builder.consumed()),
                       counting_iterator(text, text.size(), builder.consumed()), &builder,
--- a/Source/configuration/document_parser.h
+++ b/Source/configuration/document_parser.h
@@ -42,10 +42,15 @@
   [[nodiscard]] text_position position_of(std::string_view pointer) const;
 };
 
+/// Whether `parse_document` keeps the position of each value. Without positions it is faster, for
+/// documents that programs write; `position_of` then gives the start of the text.
+enum class position_tracking { kept, omitted };
+
 /// Parses JSON with comments ("//" and "/* */"). Fails with `error_code::malformed`, or
 /// `over_limit` for a text above the size limit; the message has one line for each fault, with
 /// line, column and JSON pointer. Every duplicate key before the first syntax fault is named.
-[[nodiscard]] leaf::result<parsed_document> parse_document(std::string_view text);
+[[nodiscard]] leaf::result<parsed_document> parse_document(
+    std::string_view text, position_tracking tracking = position_tracking::kept);
 
 /// One line for each problem: "line 3, column 5, /listen/port: value 0 is outside 1 to 65535".
 [[nodiscard]] std::string describe_problems(const parsed_document& document,
--- a/Source/configuration/head_document.cpp
+++ b/Source/configuration/head_document.cpp
@@ -73,13 +73,12 @@
   if (text.size() > head_size_limit_bytes) {
     return leaf::new_error(too_large(text.size()));
   }
-  BOOST_LEAF_AUTO(document, parse_document(text));
+  BOOST_LEAF_AUTO(document, parse_document(text, position_tracking::omitted));
   record_decoder decoder(unknown_keys::refused);
   head_document head;
   decoder.decode(document.value, head);
   if (!decoder.ok()) {
-    return leaf::new_error(
-        failure{error_code::malformed, describe_problems(document, decoder.problems())});
+    return leaf::new_error(failure{error_code::malformed, describe_problems(decoder.problems())});
   }
   const std::vector<decode_problem> problems = validate(head);
   if (!problems.empty()) {
