--- a/Source/configuration/head_document.cpp
+++ b/Source/configuration/head_document.cpp
@@ -52,13 +52,13 @@
 
 std::vector<decode_problem> validate(const head_document& head) {
   std::vector<decode_problem> problems = validate(head.content);
-  const std::string encoded = encode_snapshot(head.content);
-  if (encoded.size() > snapshot_size_limit_bytes) {
-    problems.push_back({"/content", "the content has " + std::to_string(encoded.size()) +
+  const snapshot_fingerprints fingerprints = fingerprints_of(head.content);
+  if (fingerprints.encoded_size > snapshot_size_limit_bytes) {
+    problems.push_back({"/content", "the content has " + std::to_string(fingerprints.encoded_size) +
                                         " bytes; " + std::to_string(snapshot_size_limit_bytes) +
                                         " are accepted"});
   }
-  if (digest_of(encoded) != head.content_digest) {
+  if (fingerprints.content_digest != head.content_digest) {
     problems.push_back({"/digest", "the digest does not match the content"});
   }
   check_changes(head, problems);
@@ -73,13 +73,12 @@
   if (text.size() > head_size_limit_bytes) {
     return leaf::new_error(too_large(text.size()));
   }
-  BOOST_LEAF_AUTO(document, parse_document(text));
+  BOOST_LEAF_AUTO(document, parse_document(text, position_tracking::omitted));
   record_decoder decoder(unknown_keys::refused);
   head_document head;
   decoder.decode(document.value, head);
   if (!decoder.ok()) {
-    return leaf::new_error(
-        failure{error_code::malformed, describe_problems(document, decoder.problems())});
+    return leaf::new_error(failure{error_code::malformed, describe_problems(decoder.problems())});
   }
   const std::vector<decode_problem> problems = validate(head);
   if (!problems.empty()) {
