--- a/Benchmarks/load/load_benchmark.cpp
+++ b/Benchmarks/load/load_benchmark.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <future>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -36,9 +37,13 @@
 
 std::vector<figure_series> run_seeds(const std::string& name, const deployment& site,
                                      const load_rules& rules) {
-  std::vector<figure_series> result;
+  std::vector<std::future<std::vector<figure>>> runs;
   for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
-    const std::vector<figure> figures = measure(name, site, rules, seed);
+    runs.push_back(std::async(std::launch::async, measure, name, site, rules, seed));
+  }
+  std::vector<figure_series> result;
+  for (auto& one : runs) {
+    const std::vector<figure> figures = one.get();
     result.resize(figures.size());
     for (std::size_t i = 0; i < figures.size(); ++i) {
       result[i].one = figures[i];
--- a/Source/admission/admission_controller.cpp
+++ b/Source/admission/admission_controller.cpp
@@ -57,7 +57,7 @@
   if (found == running_.end()) {
     return {};
   }
-  history_.record(found->second.work_class, now - found->second.started_at);
+  history_.record(*found->second.work_class, now - found->second.started_at);
   isolated_running_ -= found->second.isolated ? 1 : 0;
   running_.erase(found);
   return settle(now);
@@ -97,13 +97,13 @@
   return settle(now);
 }
 
-bool admission_controller::is_long(const std::string& work_class) const {
+bool admission_controller::is_long(const service_time_estimate& work_class) const {
   return policy_.reserve->is_long(history_.typical(work_class), history_.typical());
 }
 
 bool admission_controller::counts_as_long(const running_request& running, time_point now) const {
   return policy_.reserve->is_long(now - running.started_at, history_.typical()) ||
-         is_long(running.work_class);
+         is_long(*running.work_class);
 }
 
 int admission_controller::long_running(time_point now) const {
@@ -124,7 +124,7 @@
   for (const auto& [ticket, running] : running_) {
     if (counts_as_long(running, now) == for_long) {
       ++running_in_lane;
-      result.work_us += microseconds(history_.mean(running.work_class)) / 2;
+      result.work_us += microseconds(history_.mean(*running.work_class)) / 2;
     }
   }
   result.has_free_slot = running_in_lane < slots &&
@@ -138,14 +138,14 @@
   result.reserve(queue_.size());
   lane lanes[2] = {open_lane(false, now), open_lane(true, now)};
   for (const auto& waiting : queue_) {
-    lane& own = lanes[is_long(waiting.request.work_class) ? 1 : 0];
+    lane& own = lanes[is_long(*waiting.work_class) ? 1 : 0];
     waiting_outlook outlook = order_key(waiting.request, waiting.arrival);
     const bool starts_now = own.has_free_slot && own.requests == 0 && !waiting.request.isolated;
     const auto wait = static_cast<duration::rep>(own.work_us / own.slots);
     outlook.expected_wait = starts_now ? duration(0) : duration(wait);
-    outlook.expected_service = history_.typical(waiting.request.work_class);
+    outlook.expected_service = history_.typical(*waiting.work_class);
     outlook.requests_ahead = own.requests;
-    own.work_us += microseconds(history_.mean(waiting.request.work_class));
+    own.work_us += microseconds(history_.mean(*waiting.work_class));
     ++own.requests;
     result.push_back(outlook);
   }
@@ -167,7 +167,7 @@
   if (waiting.request.isolated) {
     return running_.empty();
   }
-  return !is_long(waiting.request.work_class) ||
+  return !is_long(*waiting.work_class) ||
          long_running(now) < policy_.reserve->slots_for_long(policy_.slots);
 }
 
@@ -187,13 +187,14 @@
     }
     --place;
   }
-  queue_.insert(place, {request, arrival});
+  queue_.insert(place, {request, arrival, history_.class_of(request.work_class)});
   waiting_.insert(request.ticket);
 }
 
-void admission_controller::start(const admission_request& request, time_point now) {
-  running_[request.ticket] = {request.work_class, now, request.isolated};
-  isolated_running_ += request.isolated ? 1 : 0;
+void admission_controller::start(const waiting_request& waiting, time_point now) {
+  waiting_.erase(waiting.request.ticket);
+  running_[waiting.request.ticket] = {waiting.work_class, now, waiting.request.isolated};
+  isolated_running_ += waiting.request.isolated ? 1 : 0;
 }
 
 void admission_controller::refuse_infeasible(time_point now, admission_changes& changes) {
@@ -201,7 +202,6 @@
     return;
   }
   const std::vector<waiting_outlook> expected = outlooks(now);
-  const duration delay = retry_after(now);
   std::size_t kept = 0;
   for (std::size_t i = 0; i < queue_.size(); ++i) {
     if (policy_.feasibility->feasible(expected[i], now)) {
@@ -212,7 +212,8 @@
     const bool expired = queue_[i].request.deadline <= now;
     changes.refused.push_back(
         {queue_[i].request.ticket,
-         expired ? refusal_reason::expired : refusal_reason::deadline_unreachable, delay});
+         expired ? refusal_reason::expired : refusal_reason::deadline_unreachable,
+         retry_after(now)});
   }
   queue_.resize(kept);
 }
@@ -232,8 +233,7 @@
   while (next < queue_.size() && running_.size() < static_cast<std::size_t>(policy_.slots)) {
     if (may_start(queue_[next], now)) {
       changes.started.push_back(queue_[next].request.ticket);
-      waiting_.erase(queue_[next].request.ticket);
-      start(queue_[next].request, now);
+      start(queue_[next], now);
       queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(next));
     } else if (queue_[next].request.isolated) {
       return;  // Later requests would keep the slots busy for ever.
--- a/Source/admission/admission_controller.h
+++ b/Source/admission/admission_controller.h
@@ -56,9 +56,10 @@
   struct waiting_request {
     admission_request request;
     std::uint64_t arrival = 0;
+    service_time_estimate* work_class = nullptr;
   };
   struct running_request {
-    std::string work_class;
+    service_time_estimate* work_class = nullptr;
     time_point started_at;
     bool isolated = false;
   };
@@ -70,7 +71,7 @@
     bool has_free_slot = false;
   };
 
-  [[nodiscard]] bool is_long(const std::string& work_class) const;
+  [[nodiscard]] bool is_long(const service_time_estimate& work_class) const;
   [[nodiscard]] bool counts_as_long(const running_request& running, time_point now) const;
   [[nodiscard]] int long_running(time_point now) const;
   [[nodiscard]] lane open_lane(bool for_long, time_point now) const;
@@ -80,7 +81,7 @@
   [[nodiscard]] bool known(admission_ticket ticket) const;
 
   void enqueue(const admission_request& request);
-  void start(const admission_request& request, time_point now);
+  void start(const waiting_request& waiting, time_point now);
   void refuse_infeasible(time_point now, admission_changes& changes);
   void refuse_excess(time_point now, admission_changes& changes);
   void start_waiting(time_point now, admission_changes& changes);
--- a/Source/admission/service_time_history.cpp
+++ b/Source/admission/service_time_history.cpp
@@ -36,29 +36,32 @@
   return duration(static_cast<duration::rep>(mean_us_));
 }
 
-void service_time_history::record(const std::string& work_class, duration service_time) {
-  overall_.record(service_time);
+service_time_estimate* service_time_history::class_of(const std::string& work_class) {
   const auto found = by_class_.find(work_class);
   if (found != by_class_.end()) {
-    found->second.record(service_time);
-  } else if (by_class_.size() < work_class_limit) {
-    by_class_[work_class].record(service_time);
+    return &found->second;
+  }
+  return by_class_.size() < work_class_limit ? &by_class_[work_class] : &overall_;
+}
+
+void service_time_history::record(service_time_estimate& work_class, duration service_time) {
+  overall_.record(service_time);
+  if (&work_class != &overall_) {
+    work_class.record(service_time);
   }
 }
 
-duration service_time_history::typical(const std::string& work_class) const {
-  return estimate_of(work_class).typical();
+duration service_time_history::typical(const service_time_estimate& work_class) const {
+  return known(work_class).typical();
 }
 
-duration service_time_history::mean(const std::string& work_class) const {
-  return estimate_of(work_class).mean();
+duration service_time_history::mean(const service_time_estimate& work_class) const {
+  return known(work_class).mean();
 }
 
-const service_time_estimate& service_time_history::estimate_of(
-    const std::string& work_class) const {
-  const auto found = by_class_.find(work_class);
-  return found != by_class_.end() && found->second.samples() >= samples_needed ? found->second
-                                                                               : overall_;
+const service_time_estimate& service_time_history::known(
+    const service_time_estimate& work_class) const {
+  return work_class.samples() >= samples_needed ? work_class : overall_;
 }
 
 }  // namespace crocusdoor
--- a/Source/admission/service_time_history.h
+++ b/Source/admission/service_time_history.h
@@ -30,19 +30,23 @@
 /// the estimate over all requests, so that callers cannot grow the table without limit.
 class service_time_history {
  public:
-  void record(const std::string& work_class, duration service_time);
+  /// Estimate of a work class; stays valid as long as the history.
+  [[nodiscard]] service_time_estimate* class_of(const std::string& work_class);
 
-  /// Expected median service time of a work class; that of all requests for an unknown class.
-  [[nodiscard]] duration typical(const std::string& work_class) const;
-  /// Expected mean service time of a work class; that of all requests for an unknown class.
-  [[nodiscard]] duration mean(const std::string& work_class) const;
+  /// Adds a measured time to a class of this history and to the estimate over all requests.
+  void record(service_time_estimate& work_class, duration service_time);
+
+  /// Expected median service time of a work class; that of all requests for a new class.
+  [[nodiscard]] duration typical(const service_time_estimate& work_class) const;
+  /// Expected mean service time of a work class; that of all requests for a new class.
+  [[nodiscard]] duration mean(const service_time_estimate& work_class) const;
   /// Median over all requests.
   [[nodiscard]] duration typical() const { return overall_.typical(); }
   /// Mean over all requests.
   [[nodiscard]] duration mean() const { return overall_.mean(); }
 
  private:
-  [[nodiscard]] const service_time_estimate& estimate_of(const std::string& work_class) const;
+  [[nodiscard]] const service_time_estimate& known(const service_time_estimate& work_class) const;
 
   std::unordered_map<std::string, service_time_estimate> by_class_;
   service_time_estimate overall_;
