Refuse a body with a method whose body evhttp does not read

Cause: evhttp reads a body only with POST, PUT and PATCH. The client did not state the length of such a body.

Change: the server answers 400 and closes the connection; the client always states the length of a body.

Measured: the new test fails without the change (status 200 for GET, DELETE and OPTIONS with a body) and passes with it.

--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -146,6 +147,11 @@
     if (!call->request.headers.contains("Host")) {
       evhttp_add_header(headers, "Host", to_string(remote).c_str());
     }
+    // evhttp states the length of a body only with POST, PUT and PATCH.
+    if (!call->request.body.empty() && !call->request.headers.contains("Content-Length")) {
+      evhttp_add_header(headers, "Content-Length",
+                        std::to_string(call->request.body.size()).c_str());
+    }
     evbuffer_add(evhttp_request_get_output_buffer(raw), call->request.body.data(),
                  call->request.body.size());
     evhttp_make_request(connection->raw, raw, command_of(call->request.method),
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 #include "transport/socket_options.h"
@@ -52,6 +53,20 @@
   return text;
 }
 
+/// evhttp reads a body only with POST, PUT and PATCH. With another method it would take the body
+/// for the next request on the connection, and the client would get answers to requests it did not
+/// make.
+bool has_unread_body(evhttp_request* raw) {
+  const evhttp_cmd_type command = evhttp_request_get_command(raw);
+  if (command == EVHTTP_REQ_POST || command == EVHTTP_REQ_PUT || command == EVHTTP_REQ_PATCH) {
+    return false;
+  }
+  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
+  const char* length = evhttp_find_header(headers, "Content-Length");
+  return evhttp_find_header(headers, "Transfer-Encoding") != nullptr ||
+         (length != nullptr && std::string_view(length) != "0");
+}
+
 http_request read_request(evhttp_request* raw) {
   http_request request;
   request.method = method_name(evhttp_request_get_command(raw));
@@ -153,6 +168,11 @@
 
   static void on_evhttp_request(evhttp_request* raw, void* context) {
     auto* self = static_cast<state*>(context);
+    if (has_unread_body(raw)) {
+      evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection", "close");
+      evhttp_send_reply(raw, 400, "a body is not accepted with this method", nullptr);
+      return;
+    }
     bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
     detail::set_connection_options(bufferevent_getfd(connection));
     self->on_request(std::make_shared<http_exchange>(raw, read_request(raw)));
--- /dev/null
+++ b/Tests/transport/http_server_test.cpp
@@ -0,0 +1,69 @@
+#include "transport/http_server.h"
+
+#include <catch2/catch.hpp>
+
+#include "loop_client.h"
+
+namespace crocusdoor {
+
+TEST_CASE("a server keeps the answers of one connection apart", "[P4][F12]") {
+  event_loop loop;
+  std::vector<std::string> received;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    received.push_back(exchange->request().method + " " + exchange->request().body);
+    exchange->respond({200, {}, received.back()});
+  });
+  loop_client client(loop, server.port());
+
+  SECTION("a body with a method whose body is not read is refused, not taken for a request") {
+    for (const char* method : {"GET", "DELETE", "OPTIONS"}) {
+      const http_result result = client.send(method, "/", {}, "GET /x HTTP/1.1\r\n\r\n");
+      INFO(method);
+      CHECK(result.response.status == 400);
+    }
+    CHECK(received.empty());
+    CHECK(client.send("GET", "/").response.body == "GET ");
+  }
+  SECTION("bodies of the other methods arrive") {
+    for (const std::string method : {"POST", "PUT", "PATCH"}) {
+      CHECK(client.send(method, "/", {}, "b").response.body == method + " b");
+    }
+  }
+}
+
+TEST_CASE("a client that closes its connection is noticed while it waits", "[P11]") {
+  event_loop loop;
+  std::shared_ptr<http_exchange> held;
+  bool closed = false;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    held = exchange;
+    exchange->on_disconnect([&] { closed = true; });
+  });
+  loop_client client(loop, server.port());
+  bool called = false;
+  for (const char* method : {"GET", "POST"}) {
+    held = nullptr;
+    closed = false;
+    const http_call call =
+        client.start(method, "/", {}, "", [&](const http_result&) { called = true; });
+    REQUIRE(client.run_until([&] { return held != nullptr; }));
+    CHECK_FALSE(held->disconnected());
+    client.cancel(call);
+    CHECK(client.run_until([&] { return closed; }));
+    CHECK(held->disconnected());
+    held->respond({200, {}, "late"});
+  }
+  CHECK_FALSE(called);
+}
+
+TEST_CASE("a server can close a connection without an answer", "[F2]") {
+  event_loop loop;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    loop.post([exchange] { exchange->close(); });
+  });
+  loop_client client(loop, server.port());
+  CHECK(client.send("GET", "/").outcome == http_outcome::interrupted);
+  CHECK(client.send("POST", "/", {}, "b").outcome == http_outcome::interrupted);
+}
+
+}  // namespace crocusdoor
