--- a/Source/command_line/command.h
+++ b/Source/command_line/command.h
@@ -3,6 +3,7 @@
 #include <istream>
 #include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "command_line/api_client.h"
@@ -22,11 +23,19 @@
 
 /// What a sub-command works with.
 struct command_context {
+  command_context(parsed_options given, event_loop& owner, const program_streams& standard,
+                  api_client& client)
+      : options(std::move(given)),
+        loop(owner),
+        streams(standard),
+        api(client),
+        json_output(options.has("json")) {}
+
   parsed_options options;
   event_loop& loop;
   program_streams streams;
   api_client& api;
-  bool json_output = false;
+  bool json_output;
 
   /// Prints the message to standard error.
   exit_code usage_error(const std::string& message) const;
--- a/Source/command_line/command_line.cpp
+++ b/Source/command_line/command_line.cpp
@@ -73,8 +73,7 @@
     return exit_code::usage;
   }
   api_client client(loop, *api, timeout);
-  const bool json_output = options.has("json");
-  command_context context{std::move(options), loop, streams, client, json_output};
+  command_context context(std::move(options), loop, streams, client);
   return one.run(context);
 }
 
--- a/Source/command_line/operations_command.cpp
+++ b/Source/command_line/operations_command.cpp
@@ -8,8 +8,9 @@
 void print_operations(std::ostream& out, const json& operations) {
   for (const json& operation : operations) {
     out << text_of(operation, "action") << " " << text_of(operation, "key") << ": "
-        << text_of(operation, "state") << "\n";
-    print_members(out, operation, "  ", {"action", "key", "state"});
+        << text_of(operation, "progress") << (flag_of(operation, "in_doubt") ? ", in doubt" : "")
+        << "\n";
+    print_members(out, operation, "  ", {"action", "key", "progress", "in_doubt"});
   }
 }
 
@@ -30,6 +31,10 @@
     context.print_json(answer.body);
   } else {
     print_operations(context.streams.out, entries_of(answer.body, "operations"));
+    for (const json& silent : entries_of(answer.body, "instances_without_answer")) {
+      context.streams.err << "instance " << value_text("", silent)
+                          << " did not answer; its operations are missing from the list\n";
+    }
   }
   return exit_code::done;
 }
--- a/Source/command_line/suspicions_command.cpp
+++ b/Source/command_line/suspicions_command.cpp
@@ -26,7 +26,11 @@
 }
 
 exit_code clear_suspicion(command_context& context, const std::string& request) {
-  const json body = {{"request", request}};
+  const std::string operator_name = context.options.value("operator");
+  if (operator_name.empty()) {
+    return context.usage_error("--operator is needed");
+  }
+  const json body = {{"request", request}, {"operator", operator_name}};
   const std::string text = body.dump(-1, ' ', false, json::error_handler_t::replace);
   const api_answer answer = context.api.call("POST", "/v1/suspicions/clear", text);
   if (!answer.ok()) {
@@ -57,7 +61,7 @@
   return {"suspicions",
           "[list | clear REQUEST]",
           "List or clear the requests suspected of crashing targets.",
-          {},
+          {{"operator", "NAME", "clear: who clears the suspicion"}},
           &run_suspicions};
 }
 
--- a/Source/stand_ins/caller.cpp
+++ b/Source/stand_ins/caller.cpp
@@ -87,7 +87,7 @@
   if (received.outcome != http_outcome::answered) {
     return call_result::may_have_run;
   }
-  const std::string verdict = header(received.response, "Crocusdoor-Verdict");
+  const std::string verdict = header(received.response, "X-Crocusdoor-Verdict");
   if (verdict == "not_run" || header(received.response, "X-Not-Run") == "true") {
     return call_result::not_run;
   }
--- a/Source/stand_ins/caller.h
+++ b/Source/stand_ins/caller.h
@@ -28,7 +28,7 @@
 /// latency in milliseconds.
 [[nodiscard]] json to_json(const caller_account& account);
 
-/// Result of one attempt. A request has not run if the response says so (`Crocusdoor-Verdict:
+/// Result of one attempt. A request has not run if the response says so (`X-Crocusdoor-Verdict:
 /// not_run` or `X-Not-Run: true`) or if it was never written to a connection.
 [[nodiscard]] call_result classify(const prepared_request& sent, const http_result& received);
 
--- a/Tests/command_line/api_commands_test.cpp
+++ b/Tests/command_line/api_commands_test.cpp
@@ -168,9 +168,16 @@
   CHECK_THAT(out, Catch::Contains("Version 7 is not in force") && Catch::Contains("link lost"));
 
   answer("GET /v1/operations?action=payout&key=a%2Fb%20c", 200,
-         {{"operations", {{{"action", "payout"}, {"key", "a/b c"}, {"state", "in_doubt"}}}}});
+         {{"operations",
+           {{{"action", "payout"},
+             {"key", "a/b c"},
+             {"progress", "claimed"},
+             {"in_doubt", true},
+             {"expires_at_ms", 0}}}},
+          {"instances_without_answer", {"s3"}}});
   CHECK(run({"operations", "--action", "payout", "--key", "a/b c"}) == 0);
-  CHECK(out == "payout a/b c: in_doubt\n");
+  CHECK(out == "payout a/b c: claimed, in doubt\n  expires_at_ms: 1970-01-01 00:00:00.000Z\n");
+  CHECK_THAT(err, Catch::Contains("instance s3 did not answer"));
 
   answer("POST /v1/operations/resolve", 200, json::object());
   CHECK(run({"operations", "resolve", "--not-run", "--action", "payout", "--key", "k", "--note",
@@ -180,8 +187,8 @@
                         "note": "checked the ledger", "operator": "anna"})"));
 
   answer("POST /v1/suspicions/clear", 200, json::object());
-  CHECK(run({"suspicions", "clear", "abc"}) == 0);
-  CHECK(received.back().body == R"({"request":"abc"})");
+  CHECK(run({"suspicions", "clear", "abc", "--operator", "bia"}) == 0);
+  CHECK(received.back().body == R"({"operator":"bia","request":"abc"})");
 
   answer("POST /v1/drain", 200, json::object());
   CHECK(run({"drain", "s1"}) == 0);
