--- a/Source/daemon/membership_service.cpp
+++ b/Source/daemon/membership_service.cpp
@@ -106,7 +106,7 @@
 
 void membership_service::peer_established(const instance_name& peer, const wire::hello& greeting) {
   merge(greeting.self, peer);
-  const auto held = directory_.neighbour_heard(peer, greeting.self.incarnation);
+  const auto held = directory_.neighbour_heard(peer, greeting.self.incarnation, shared_.loop.now());
   if (held.has_value()) {
     mesh_.send(peer, wire::records{{*held}});
   }
--- a/Source/membership/membership_protocol.cpp
+++ b/Source/membership/membership_protocol.cpp
@@ -160,7 +160,7 @@
     return;
   }
   comparison_allowed_ = now + comparison_spacing;
-  out.push_back({peer, wire::records_request{known_.bucket_fingerprints()}});
+  out.push_back({peer, wire::records_request{known_.bucket_fingerprints(), false}});
 }
 
 void membership_protocol::on(const wire::heartbeat_answer& answer, const instance_name& from,
@@ -176,7 +176,7 @@
                              messages& out) const {
   std::vector<instance_record> part;
   std::size_t bytes = 0;
-  for (instance_record& record : known_.differing(request.buckets)) {
+  for (instance_record& record : known_.differing(request.fingerprints)) {
     bytes += encoded_size(record);
     part.push_back(std::move(record));
     if (bytes >= answer_bytes_limit) {
