State the refusal of a plan against an older version in the race test

Disabling the comparison of version numbers in confirm_plan left all tests passing, because the digest includes the version and was compared next. The operator's message would have been wrong, so the test now states it.

--- a/Tests/configuration/plan_test.cpp
+++ b/Tests/configuration/plan_test.cpp
@@ -187,6 +187,8 @@
 
   const confirmation refused = confirm(platform.read(), of_ines, "nonce-ines-2");
   CHECK(refused.outcome == confirmation_outcome::conflict);
+  CHECK(refused.message ==
+        "the plan was made against version 5, the configuration is at version 6");
   REQUIRE(refused.changed_since.size() == 1);
   CHECK(refused.changed_since[0].operator_name == "joana");
   CHECK_THAT(refused.changed_since[0].sentences.at(0), Catch::Contains("from 5 to 14"));
