Use the mean load of all upstreams for old reports of recently called zones

A mean per distance has one or two members, so with late reports it passed the noise of one report on. The mean of all upstreams is back; it falls to zero for a zone without recent reports, which the spill-over test needs.

--- a/Source/routing/upstream_selector.cpp
+++ b/Source/routing/upstream_selector.cpp
@@ -182,24 +182,27 @@
   return *middle;
 }
 
-// Mean reported load at the same distance, newer reports counting more. Where all reports are old
-// it falls towards zero, so that a zone that was full is tried again, and one that was never called
-// is not taken to be as full as the own zone.
+// Mean reported load of all upstreams, newer reports counting more. For a distance without recent
+// reports it falls to zero, so that a zone that was full is tried again, and one that was never
+// called is not taken to be as full as the own zone.
 upstream_selector::others_by_distance upstream_selector::expected_others(
     const service_members& service, time_point now) {
-  constexpr double weight_of_no_load = 0.2;
-  others_by_distance load{};
-  others_by_distance weights{weight_of_no_load, weight_of_no_load, weight_of_no_load};
+  constexpr double recent_weight = 0.2;
+  others_by_distance weights{};
+  double load = 0;
+  double total_weight = 0;
   for (const member& one : service.members) {
-    const auto distance = static_cast<std::size_t>(one.zone_distance);
     const double weight = one.tracker.report_weight(now);
-    load[distance] += weight * one.tracker.others_load();
-    weights[distance] += weight;
+    weights[static_cast<std::size_t>(one.zone_distance)] += weight;
+    load += weight * one.tracker.others_load();
+    total_weight += weight;
   }
-  for (std::size_t distance = 0; distance < load.size(); ++distance) {
-    load[distance] /= weights[distance];
+  others_by_distance result{};
+  for (std::size_t distance = 0; distance < result.size(); ++distance) {
+    const double recent = std::min(1.0, weights[distance] / recent_weight);
+    result[distance] = total_weight > 0 ? recent * load / total_weight : 0;
   }
-  return load;
+  return result;
 }
 
 void upstream_selector::update_slow(service_members& service, time_point now) const {
