--- a/Source/routing/upstream_selector.cpp
+++ b/Source/routing/upstream_selector.cpp
@@ -60,9 +60,7 @@
   service_members& members = found->second;
   ++members.turn;
   update_slow(members, now);
-  // A retry or hedge has lost time already and does not go to a slow target as a probe.
-  if (const member* probed = excluded.empty() ? due_probe(members, now) : nullptr;
-      probed != nullptr) {
+  if (const member* probed = due_probe(members, now, excluded); probed != nullptr) {
     return probed->description.instance;
   }
   const auto groups = group_candidates(members, now, excluded);
@@ -225,10 +223,11 @@
   }
 }
 
-upstream_selector::member* upstream_selector::due_probe(service_members& service,
-                                                        time_point now) const {
+upstream_selector::member* upstream_selector::due_probe(
+    service_members& service, time_point now, const std::vector<instance_name>& excluded) const {
   for (member& one : service.members) {
-    if (one.slow && now >= one.next_probe && !one.tracker.unreachable(now)) {
+    if (one.slow && now >= one.next_probe && !one.tracker.unreachable(now) &&
+        !contains(excluded, one.description.instance)) {
       one.next_probe = now + policy_.probe_interval;
       return &one;
     }
--- a/Source/routing/upstream_selector.h
+++ b/Source/routing/upstream_selector.h
@@ -88,7 +88,8 @@
   [[nodiscard]] static others_by_distance expected_others(const service_members& service,
                                                           time_point now);
   void update_slow(service_members& service, time_point now) const;
-  [[nodiscard]] member* due_probe(service_members& service, time_point now) const;
+  [[nodiscard]] member* due_probe(service_members& service, time_point now,
+                                  const std::vector<instance_name>& excluded) const;
   [[nodiscard]] std::vector<candidate_group> group_candidates(
       const service_members& service, time_point now,
       const std::vector<instance_name>& excluded) const;
