--- a/Tests/admission/admission_controller_test.cpp
+++ b/Tests/admission/admission_controller_test.cpp
@@ -79,16 +79,16 @@
 
   struct deadline_case {
     std::string name;
-    int already_waiting;
+    admission_ticket ahead;  ///< Requests offered before, of which two run.
     duration left;
     admission_outcome expected;
   };
   const std::vector<deadline_case> cases{
-      {"free slot, enough time", -2, milliseconds(200), admission_outcome::started},
-      {"free slot, less than the service time", -2, milliseconds(90), admission_outcome::refused},
-      {"already expired", -2, milliseconds(-1), admission_outcome::refused},
-      {"short queue, enough time", 1, seconds(1), admission_outcome::queued},
-      {"the queue ahead takes longer than the deadline", 6, milliseconds(300),
+      {"free slot, enough time", 0, milliseconds(200), admission_outcome::started},
+      {"free slot, less than the service time", 0, milliseconds(90), admission_outcome::refused},
+      {"already expired", 0, milliseconds(-1), admission_outcome::refused},
+      {"short queue, enough time", 3, seconds(1), admission_outcome::queued},
+      {"the queue ahead takes longer than the deadline", 8, milliseconds(300),
        admission_outcome::refused}};
   for (const deadline_case& one : cases) {
     DYNAMIC_SECTION(one.name) {
