--- a/Tests/membership/mesh_test.cpp
+++ b/Tests/membership/mesh_test.cpp
@@ -120,6 +120,20 @@
   }
 }
 
+TEST_CASE("survivors agree after three quarters of the instances have died", "[F1]") {
+  mesh_simulation mesh(64, 3, 211);
+  mesh.run(3s);
+  for (std::size_t i = 0; i < 64; i += 2) {
+    mesh.crash(i);
+  }
+  mesh.run(2s);
+  for (std::size_t i = 1; i < 64; i += 4) {
+    mesh.crash(i);
+  }
+  mesh.run(60s);
+  CHECK(mesh.converged());
+}
+
 TEST_CASE("a draining instance gets no requests anywhere after a few seconds", "[P7][P8]") {
   mesh_simulation mesh(64, 3, 5);
   mesh.run(3s);
