--- a/Source/stand_ins/caller.cpp
+++ b/Source/stand_ins/caller.cpp
@@ -33,6 +33,12 @@
   reason += received.outcome == http_outcome::answered
                 ? " status " + std::to_string(received.response.status)
                 : " " + std::string(to_string(received.outcome));
+  const json body = json::parse(received.response.body, nullptr, false);
+  for (const char* key : {"code", "message"}) {
+    if (body.is_object() && body.contains(key) && body.at(key).is_string()) {
+      reason += ", " + body.at(key).get<std::string>();
+    }
+  }
   return reason;
 }
 
