Clear the linter's findings in the run-once tests

Default member values and a constant without a widening product. The linter is clean on the files changed here; all 17 tests of the module pass (20.9 s with four in parallel; the longest search is a test of its own).

--- a/Tests/run_once/action_load.h
+++ b/Tests/run_once/action_load.h
@@ -63,11 +63,11 @@
 
  private:
   struct start_of_action {
-    std::size_t worker;
+    std::size_t worker = 0;
   };
   struct end_of_action {
     claim held;
-    ticket_number ticket;
+    ticket_number ticket = 0;
   };
   struct timer {};
   using event = std::variant<start_of_action, end_of_action, platform_result, timer>;
--- a/Tests/run_once/claim_service_test.cpp
+++ b/Tests/run_once/claim_service_test.cpp
@@ -112,7 +112,7 @@
   load.settle(service.set_live_members({instance_name("a")}, load.now()));
   const load_figures figures = load.run(64, 10s);
   CHECK(figures.writes <= 100 + settings.write_burst + 12);  // 12: checkpoints and the last batch.
-  CHECK(figures.actions >= 64 * 30);
+  CHECK(figures.actions >= 1920);                            // 30 for each worker, in 10 s.
 }
 
 TEST_CASE("one object per action gives the same answers", "[P6]") {
