Clean the linter's findings in tests; choose the first seed of a benchmark

The table of deadline cases states the number of requests offered before. A benchmark run with other seeds than those of the checks shows whether the settings fit only these.

--- a/Benchmarks/load/load_benchmark.cpp
+++ b/Benchmarks/load/load_benchmark.cpp
@@ -1,5 +1,5 @@
 // Measures M3, M4 and M5 on a virtual clock.
-// Usage: load_benchmark [--check] [measure [deployment]]
+// Usage: load_benchmark [--check] [measure [deployment [first seed]]]
 // Prints a table and one JSON line per figure; --check fails if any seed misses a bound.
 
 #include <algorithm>
@@ -36,9 +36,9 @@
 };
 
 std::vector<figure_series> run_seeds(const std::string& name, const deployment& site,
-                                     const load_rules& rules) {
+                                     const load_rules& rules, std::uint64_t first_seed) {
   std::vector<std::future<std::vector<figure>>> runs;
-  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+  for (std::uint64_t seed = first_seed; seed < first_seed + seed_count; ++seed) {
     runs.push_back(std::async(std::launch::async, measure, name, site, rules, seed));
   }
   std::vector<figure_series> result;
@@ -79,10 +79,10 @@
 }
 
 // The bounds concern this library only, so a check leaves out the baseline and its long queues.
-bool run(const std::string& name, const deployment& site, bool check) {
-  const auto ours = run_seeds(name, site, default_rules(site));
-  const auto baseline =
-      check ? std::vector<figure_series>() : run_seeds(name, site, baseline_rules(site));
+bool run(const std::string& name, const deployment& site, bool check, std::uint64_t first_seed) {
+  const auto ours = run_seeds(name, site, default_rules(site), first_seed);
+  const auto baseline = check ? std::vector<figure_series>()
+                              : run_seeds(name, site, baseline_rules(site), first_seed);
   bool met = !ours.empty();
   for (std::size_t i = 0; i < ours.size(); ++i) {
     print(name, site, check ? nullptr : &baseline[i], ours[i]);
@@ -108,11 +108,12 @@
   }
   std::printf("%-13s %-7s %-21s %10s %10s [spread over %d seeds] bound\n", "measure", "sizes",
               "figure", "baseline", "ours", static_cast<int>(seed_count));
+  const std::uint64_t first_seed = arguments.size() < 3 ? 1 : std::stoull(arguments[2]);
   bool met = true;
   for (const std::string& name : names) {
     for (const deployment& site : deployments()) {
       if (arguments.size() < 2 || arguments[1] == site.name) {
-        met = run(name, site, check) && met;
+        met = run(name, site, check, first_seed) && met;
       }
     }
   }
--- a/Tests/admission/admission_controller_test.cpp
+++ b/Tests/admission/admission_controller_test.cpp
@@ -79,27 +79,22 @@
 
   struct deadline_case {
     std::string name;
-    int already_waiting;
+    admission_ticket ahead;  ///< Requests offered before, of which two run.
     duration left;
     admission_outcome expected;
   };
   const std::vector<deadline_case> cases{
-      {"free slot, enough time", -2, milliseconds(200), admission_outcome::started},
-      {"free slot, less than the service time", -2, milliseconds(90), admission_outcome::refused},
-      {"already expired", -2, milliseconds(-1), admission_outcome::refused},
-      {"short queue, enough time", 1, seconds(1), admission_outcome::queued},
-      {"the queue ahead takes longer than the deadline", 6, milliseconds(300),
+      {"free slot, enough time", 0, milliseconds(200), admission_outcome::started},
+      {"free slot, less than the service time", 0, milliseconds(90), admission_outcome::refused},
+      {"already expired", 0, milliseconds(-1), admission_outcome::refused},
+      {"short queue, enough time", 3, seconds(1), admission_outcome::queued},
+      {"the queue ahead takes longer than the deadline", 8, milliseconds(300),
        admission_outcome::refused}};
   for (const deadline_case& one : cases) {
     DYNAMIC_SECTION(one.name) {
-      for (int i = 0; i < one.already_waiting + 2; ++i) {
-        const auto ahead = make_request(static_cast<admission_ticket>(i + 1), milliseconds(290));
-        REQUIRE(controller
-                    .offer({.ticket = ahead.ticket,
-                            .deadline = start + seconds(1),
-                            .work_class = ahead.work_class},
-                           start)
-                    .outcome != admission_outcome::refused);
+      for (admission_ticket ticket = 1; ticket <= one.ahead; ++ticket) {
+        REQUIRE(controller.offer(make_request(ticket), start).outcome !=
+                admission_outcome::refused);
       }
       auto request = make_request(50, one.left);
       // Placed behind the waiting ones by its class, whatever its deadline.
--- a/Tests/routing/upstream_selector_test.cpp
+++ b/Tests/routing/upstream_selector_test.cpp
@@ -1,6 +1,7 @@
 #include "routing/upstream_selector.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -28,7 +29,8 @@
 /// A caller whose requests take the time that the test sets for each target.
 class calling_process {
  public:
-  explicit calling_process(const std::vector<upstream>& upstreams, selection_policy policy = {})
+  explicit calling_process(const std::vector<upstream>& upstreams,
+                           const selection_policy& policy = {})
       : selector({instance_name("caller"), failure_domain("a"), region_name("coast")}, policy) {
     selector.set_upstreams(statements, upstreams, now);
   }
@@ -77,14 +79,23 @@
   }
 };
 
-std::vector<upstream> six_targets() {
+std::vector<upstream> make_upstreams(int count, const std::function<std::string(int)>& zone_of) {
   std::vector<upstream> result;
-  for (int i = 0; i < 6; ++i) {
-    result.push_back(make_upstream(i));
+  result.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    result.push_back(make_upstream(i, zone_of(i)));
   }
   return result;
 }
 
+std::vector<upstream> six_targets() {
+  return make_upstreams(6, [](int) { return "a"; });
+}
+
+std::string one_of_three_zones(int index) {
+  return std::string(1, static_cast<char>('a' + index % 3));
+}
+
 }  // namespace
 
 TEST_CASE("a target that slows down is avoided and returns gradually", "[M5][F8]") {
@@ -185,10 +196,8 @@
 }
 
 TEST_CASE("the own zone comes first and spills over when it is short of capacity", "[F10]") {
-  std::vector<upstream> upstreams;
-  for (int i = 0; i < 6; ++i) {
-    upstreams.push_back(make_upstream(i, i < 3 ? "a" : "b"));
-  }
+  const std::vector<upstream> upstreams =
+      make_upstreams(6, [](int i) { return i < 3 ? "a" : "b"; });
   calling_process caller(upstreams);
   const auto outside = [&](duration length) {
     int result = 0;
@@ -290,15 +299,11 @@
   }
 
   SECTION("counted over 1,000 callers in three zones") {
-    std::vector<upstream> upstreams;
-    for (int i = 0; i < 200; ++i) {
-      upstreams.push_back(make_upstream(i, std::string(1, static_cast<char>('a' + i % 3))));
-    }
+    const std::vector<upstream> upstreams = make_upstreams(200, one_of_three_zones);
     std::map<std::string, int> connections;
     for (int i = 0; i < 1000; ++i) {
       const caller_location caller{instance_name("caller-" + std::to_string(i)),
-                                   failure_domain(std::string(1, static_cast<char>('a' + i % 3))),
-                                   region_name("coast")};
+                                   failure_domain(one_of_three_zones(i)), region_name("coast")};
       for (const upstream& one : choose_subset(upstreams, caller, subset_size(200, {130, 1000}))) {
         ++connections[one.instance.str()];
       }
@@ -313,10 +318,8 @@
   SECTION("the loss of an upstream replaces at most one member") {
     const caller_location caller{instance_name("caller"), failure_domain("a"),
                                  region_name("coast")};
-    std::vector<upstream> upstreams;
-    for (int i = 0; i < 60; ++i) {
-      upstreams.push_back(make_upstream(i, i % 2 == 0 ? "a" : "b"));
-    }
+    std::vector<upstream> upstreams =
+        make_upstreams(60, [](int i) { return i % 2 == 0 ? "a" : "b"; });
     const auto before = choose_subset(upstreams, caller, 20);
     upstreams.erase(upstreams.begin() + 7);
     const auto after = choose_subset(upstreams, caller, 20);
