Cover the calls of one lost link with saved-up retries

Cause: 1 of 60 reads ended as "may have run" when the daemon beside its target fell silent: the burst of 10 retries was used up, although a link can carry the calls in the slots and the queue of its target.

Change: the burst is five calls a slot, what one target holds at most.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -18,6 +18,10 @@
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
 
+/// Calls that can be lost with one link: those in the slots and in the queue of its target, which
+/// holds four requests a slot. Retries saved up for such a moment must cover them.
+constexpr double calls_per_slot_on_a_link = 5;
+
 /// Answers a caller that arrives in the last moments of the process.
 void respond_stopping(http_exchange& exchange) {
   exchange.respond({503,
@@ -67,7 +71,8 @@
   caller_services_ = std::make_unique<caller_services>(caller_services{
       shared_, *router_, *run_once_, selector_, hedges_,
       [this](const service_name& name) -> retry_budget& {
-        const retry_policy policy{.traffic_share = options_.limits.retry_percent / 100.0};
+        const retry_policy policy{.traffic_share = options_.limits.retry_percent / 100.0,
+                                  .burst = calls_per_slot_on_a_link * options_.target.slots};
         return retry_budgets_.try_emplace(name, policy).first->second;
       },
       [this] { return distributor_->current(); }, [this] { return distributor_->ready(); }});
--- a/Tests/system/drain_test.cpp
+++ b/Tests/system/drain_test.cpp
@@ -55,6 +55,27 @@
   }
 }
 
+TEST_CASE("reads survive the crash of a target without a stall", "[P11][F6]") {
+  mesh_under_test mesh({"statements", "statements", "statements", "statements"}, 5);
+  REQUIRE(mesh.wait_in_force(mesh.apply_intents(basic_intents({"statements"}))));
+  REQUIRE(mesh.wait_ready());
+  std::vector<std::shared_ptr<outstanding_request>> sent;
+  for (int i = 0; i < 400; ++i) {
+    const std::size_t through = static_cast<std::size_t>(i) % 3;
+    sent.push_back(mesh.start(mesh.instance(through).caller_port,
+                              {"GET", "/statements/" + std::to_string(i), {}, {}}));
+    mesh.run_for(std::chrono::milliseconds(1));
+    if (i == 100) {
+      mesh.instance(3).target->kill();
+    }
+  }
+  mesh.wait_for(sent);
+  for (std::size_t i = 0; i < sent.size(); ++i) {
+    CAPTURE(i, to_string(sent[i]->result.outcome), sent[i]->result.response.body);
+    CHECK(sent[i]->result.response.status == 200);
+  }
+}
+
 TEST_CASE("a daemon that falls silent with its links open holds nobody up for long", "[P4][F7]") {
   mesh_under_test mesh({"statements", "statements", "statements", "statements"}, 10);
   REQUIRE(mesh.wait_in_force(mesh.apply_intents(basic_intents({"statements"}))));
