--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -130,6 +130,10 @@
   event_base_loop(state_->base, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
+void event_loop::run_once() {
+  event_base_loop(state_->base, EVLOOP_ONCE);
+}
+
 void event_loop::stop() {
   event_base_loopbreak(state_->base);
 }
--- a/Source/transport/event_loop.h
+++ b/Source/transport/event_loop.h
@@ -37,6 +37,8 @@
   void on_signal(int signal_number, std::function<void()> action);
 
   void run();
+  /// Waits for events once and runs their callbacks.
+  void run_once();
   /// Makes `run` return after the callbacks of the current turn.
   void stop();
 
--- a/Tests/system/child_process.h
+++ b/Tests/system/child_process.h
@@ -20,6 +20,8 @@
   void send_signal(int signal_number);
   /// Ends the process at once, as a crash would.
   void kill();
+  /// Identifier of the process; -1 once it has ended.
+  [[nodiscard]] pid_t id() const noexcept { return process_; }
   /// Whether the process has ended by itself.
   [[nodiscard]] bool has_ended();
 
--- a/Tests/system/mesh_under_test.cpp
+++ b/Tests/system/mesh_under_test.cpp
@@ -185,6 +185,10 @@
   return send(instance(instance_index).api_port, {"POST", "/v1/plans", {}, document.dump()});
 }
 
+json mesh_under_test::platform_counts() {
+  return get_json(platform_port_, "/control/counts");
+}
+
 std::uint64_t mesh_under_test::apply_intents(const json& document, std::size_t instance_index) {
   http_result planned;
   wait_until([&] {
--- a/Tests/system/mesh_under_test.h
+++ b/Tests/system/mesh_under_test.h
@@ -55,6 +55,8 @@
   /// Runs the loop until the condition holds; false if it does not hold in time.
   bool wait_until(const std::function<bool()>& condition);
   void run_for(duration span);
+  /// Waits for events once and handles them.
+  void run_one_turn() { loop_.run_once(); }
 
   json get_json(std::uint16_t port, const std::string& path);
   void control_platform(const json& settings);
@@ -71,6 +73,9 @@
   /// Executions by idempotency key, over all targets.
   std::map<std::string, int> executions();
 
+  /// Calls that the platform has counted since its start, by kind.
+  json platform_counts();
+
   [[nodiscard]] event_loop& loop() noexcept { return loop_; }
 
  private:
