Pass heartbeats on to the directory; take over shards of dead daemons

Cause: the daemon told the directory of a peer only once, when its link was established. Ruled out: the shard log, whose takeover was never asked for.

Change: each heartbeat is reported to the directory. A test kills the owner of shards and requires every operation to succeed.

--- a/Benchmarks/system/system_benchmark.cpp
+++ b/Benchmarks/system/system_benchmark.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <numeric>
 #include <sstream>
 #include <string>
@@ -182,6 +183,12 @@
   mesh.wait_for(sent);
   const auto answered = std::count_if(
       sent.begin(), sent.end(), [](const auto& one) { return one->result.response.status == 200; });
+  std::map<std::string, int> refusals;
+  for (const auto& one : sent) {
+    if (one->result.response.status != 200) {
+      ++refusals[one->result.response.body];
+    }
+  }
   print("M9 shard takeover, s until the last of 40 operations", mesh.instances().size(),
         {{"seconds", milliseconds(mesh.loop().now() - killed) / 1000.0}, {"answered", answered}});
 }
--- a/Source/daemon/membership_service.cpp
+++ b/Source/daemon/membership_service.cpp
@@ -50,6 +50,8 @@
       merge(record, from);
     }
   });
+  dispatcher.on<wire::heartbeat>([this](const auto& from, const auto&) { heard(from); });
+  dispatcher.on<wire::heartbeat_answer>([this](const auto& from, const auto&) { heard(from); });
   dispatcher.on<wire::records_request>(
       [this](const auto& from, const auto& content) { answer_comparison(from, content); });
 }
@@ -121,6 +123,14 @@
   compare_with(peer, false);
 }
 
+void membership_service::heard(const instance_name& peer) {
+  const auto held =
+      directory_.neighbour_heard(peer, mesh_.incarnation_of(peer), shared_.loop.now());
+  if (held.has_value()) {
+    mesh_.send(peer, wire::records{{*held}});
+  }
+}
+
 void membership_service::peer_lost(const instance_name& peer) {
   compared_.erase(peer);
   unlinked_since_[peer] = shared_.loop.now();
--- a/Source/daemon/membership_service.h
+++ b/Source/daemon/membership_service.h
@@ -39,6 +39,9 @@
   void merge(const instance_record& record, const instance_name& from);
 
  private:
+  /// A heartbeat arrived: without these the directory takes this daemon for cut off, and keeps
+  /// its suspicions to itself.
+  void heard(const instance_name& peer);
   void tick();
   void gossip();
   void review_neighbours();
--- a/Tests/system/run_once_test.cpp
+++ b/Tests/system/run_once_test.cpp
@@ -97,6 +97,30 @@
   }
 }
 
+TEST_CASE("the shards of a daemon that died are taken over, and no advance is refused",
+          "[P6][P11][F1]") {
+  mesh_under_test mesh({"advances", "advances", "advances", "statements", "statements"}, 2);
+  REQUIRE(mesh.wait_in_force(mesh.apply_intents(basic_intents({"advances", "statements"}))));
+  REQUIRE(mesh.wait_ready());
+  // A first advance for each shard, so that the shards have their owners.
+  std::vector<std::shared_ptr<outstanding_request>> first;
+  for (int i = 0; i < 40; ++i) {
+    first.push_back(
+        mesh.start(mesh.instance(0).caller_port, advance("first-" + std::to_string(i))));
+  }
+  mesh.wait_for(first);
+  mesh.instance(4).daemon->kill();
+  std::vector<std::shared_ptr<outstanding_request>> sent;
+  for (int i = 0; i < 40; ++i) {
+    sent.push_back(mesh.start(mesh.instance(0).caller_port, advance("later-" + std::to_string(i))));
+  }
+  mesh.wait_for(sent);
+  for (std::size_t i = 0; i < sent.size(); ++i) {
+    CAPTURE(i, sent[i]->result.response.body);
+    CHECK(sent[i]->result.response.status == 200);
+  }
+}
+
 TEST_CASE("a paused shard owner that wakes up cannot let an advance run again", "[P6][F4]") {
   mesh_under_test mesh({"advances", "advances", "statements", "statements"}, 2);
   REQUIRE(mesh.wait_in_force(mesh.apply_intents(basic_intents({"advances", "statements"}))));
