Repeat claim requests instead of refusing them during a change of owners

Change: an instance that does not own a shard drops the request; the requester repeats it every 300 ms with the same id, to the owner that it knows by then, until its deadline.

--- a/Source/daemon/run_once_service.cpp
+++ b/Source/daemon/run_once_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "daemon/event_log.h"
+#include "run_once/shard_directory.h"
 
 namespace crocusdoor {
 
@@ -14,6 +15,7 @@
 constexpr duration tick_interval = std::chrono::milliseconds(20);
 constexpr duration first_completion_pause = std::chrono::milliseconds(100);
 constexpr duration longest_completion_pause = std::chrono::seconds(5);
+constexpr duration request_repeat_interval = std::chrono::milliseconds(300);
 /// How long the answer to a claim request is kept for a repeat of the request. Longer than the
 /// detection of a silent link and the opening of a new one.
 constexpr duration remote_request_age = std::chrono::seconds(60);
@@ -95,6 +97,7 @@
     apply(claims_.request_claim(ticket, parameters, read_clock()));
     return;
   }
+  pending.next_repeat = shared_.loop.now() + request_repeat_interval;
   pending.sent =
       mesh_.send(*owner, wire::claim_request{id, parameters.operation, parameters.body_digest,
                                              parameters.expires_at.time_since_epoch().count(),
@@ -137,6 +140,11 @@
 
 void run_once_service::receive_claim_request(const instance_name& from,
                                              const wire::claim_request& request) {
+  if (!claims_.owns(shard_of(request.operation))) {
+    // The two instances see different members for a moment. The requester repeats its request, to
+    // this instance or to the owner that it knows by then.
+    return;
+  }
   const remote_request identity{from, mesh_.incarnation_of(from), request.id};
   const auto [entry, added] = remote_requests_.try_emplace(identity);
   if (!added) {
@@ -187,7 +195,9 @@
   std::vector<wire::request_id> unsent;
   for (const auto& [id, pending] : requests_) {
     const auto owner = claims_.owner_of(pending.parameters.operation);
-    if (!pending.sent || (owner.has_value() && *owner != pending.owner)) {
+    const bool remote = pending.owner != shared_.options.instance.name;
+    const bool overdue = remote && pending.next_repeat <= shared_.loop.now();
+    if (!pending.sent || overdue || (owner.has_value() && *owner != pending.owner)) {
       unsent.push_back(id);
     }
   }
--- a/Source/daemon/run_once_service.h
+++ b/Source/daemon/run_once_service.h
@@ -48,13 +48,14 @@
   [[nodiscard]] std::size_t unrecorded_completions() const noexcept { return completions_.size(); }
 
  private:
-  /// A claim request of this instance. It is sent again with the same id after its link was lost,
-  /// and to the new owner after the shard has moved.
+  /// A claim request of this instance. It is sent again with the same id at intervals, and
+  /// to the new owner after the shard has moved.
   struct pending_request {
     claim_parameters parameters;
     claim_callback done;
     instance_name owner;
     bool sent = false;
+    time_point next_repeat;
     timer_handle timeout;
   };
   /// Identifies a claim request of another instance.
