Never repeat a run-once request under a route that allows repeats

Cause: read-through. A route with idempotent_writes made the calling side retry a run-once request whose first attempt may have run, under the same claim.

Change: a request of a run-once action is never idempotent for the calling side. The test that kills daemons now sets idempotent_writes.

--- a/Source/daemon/caller_request.cpp
+++ b/Source/daemon/caller_request.cpp
@@ -74,6 +74,9 @@
   const run_once_action* action =
       find_action(*configuration_, call_.service, call_.method, call_.path);
   if (action != nullptr) {
+    // Whatever the route says: a retry or hedge of a request that may have run would run it twice
+    // under the same claim.
+    call_.idempotent = false;
     request_claim(*action);
   } else {
     send_attempt();
--- a/Tests/system/run_once_test.cpp
+++ b/Tests/system/run_once_test.cpp
@@ -67,7 +67,10 @@
 
 TEST_CASE("killed daemons and resent advances never pay twice", "[P6][F1]") {
   mesh_under_test mesh({"advances", "advances", "advances", "statements", "statements"}, 30);
-  REQUIRE(mesh.wait_in_force(mesh.apply_intents(basic_intents({"advances", "statements"}))));
+  json intents = basic_intents({"advances", "statements"});
+  // A route that allows repeats must not allow them for a run-once action below it.
+  intents["intents"][1]["put_route"]["idempotent_writes"] = true;
+  REQUIRE(mesh.wait_in_force(mesh.apply_intents(intents)));
   REQUIRE(mesh.wait_ready());
 
   std::map<std::string, std::string> said_not_run;
