--- a/Benchmarks/system/system_benchmark.cpp
+++ b/Benchmarks/system/system_benchmark.cpp
@@ -121,6 +121,7 @@
   const double bytes_before = total_metric(mesh, "crocusdoor_peer_bytes_sent_total");
   const json calls_before = mesh.platform_counts();
   std::vector<double> cpu;
+  cpu.reserve(count);
   for (test_instance& one : mesh.instances()) {
     cpu.push_back(-read_usage(one.daemon->id()).cpu_s);
   }
@@ -143,6 +144,7 @@
 
 std::vector<double> call_times(mesh_under_test& mesh, std::uint16_t port) {
   std::vector<double> times;
+  times.reserve(calls_per_round);
   for (int call = 0; call < calls_per_round; ++call) {
     const time_point started = mesh.loop().now();
     const auto sent = mesh.start(port, {"GET", "/statements/1", {}, {}});
@@ -173,6 +175,7 @@
   mesh.instance(1).daemon->kill();
   std::vector<std::shared_ptr<test::outstanding_request>> sent;
   constexpr int operations = 40;
+  sent.reserve(operations);
   for (int i = 0; i < operations; ++i) {
     sent.push_back(mesh.start(mesh.instance(0).caller_port,
                               {"POST",
--- a/Source/daemon/membership_service.cpp
+++ b/Source/daemon/membership_service.cpp
@@ -34,14 +34,13 @@
 }  // namespace
 
 membership_service::membership_service(const daemon_context& shared, peer_mesh& mesh,
-                                       platform_client& platform, instance_record self,
+                                       platform_client& platform, const instance_record& self,
                                        std::function<void()> changed)
     : shared_(shared),
       mesh_(mesh),
       platform_(platform),
       changed_(std::move(changed)),
-      directory_(std::move(self),
-                 directory_limits{.suspicion = shared.options.timing.suspicion_timeout_ms}),
+      directory_(self, directory_limits{.suspicion = shared.options.timing.suspicion_timeout_ms}),
       budget_(
           platform_budget_limits{.reads_per_second = shared_read_rate(shared.options.platform)}) {
   message_dispatcher& dispatcher = mesh_.dispatcher();
--- a/Source/daemon/membership_service.h
+++ b/Source/daemon/membership_service.h
@@ -20,7 +20,7 @@
 class membership_service {
  public:
   membership_service(const daemon_context& shared, peer_mesh& mesh, platform_client& platform,
-                     instance_record self, std::function<void()> changed);
+                     const instance_record& self, std::function<void()> changed);
 
   [[nodiscard]] const directory& known() const noexcept { return directory_; }
   [[nodiscard]] bool is_watcher() const;
--- a/Source/platform/platform_client.cpp
+++ b/Source/platform/platform_client.cpp
@@ -105,24 +105,24 @@
 }
 
 void platform_client::create_if_absent(const std::string& kind, const std::string& name,
-                                       std::string value, object_callback done) {
+                                       std::string value, const object_callback& done) {
   write({"PUT", object_path(kind, name), {{"If-None-Match", "*"}}, std::move(value)}, done);
 }
 
 void platform_client::update_if_version(const std::string& kind, const std::string& name,
                                         object_version expected, std::string value,
-                                        object_callback done) {
+                                        const object_callback& done) {
   const std::string tag = "\"" + std::to_string(expected) + "\"";
   write({"PUT", object_path(kind, name), {{"If-Match", tag}}, std::move(value)}, done);
 }
 
 void platform_client::put(const std::string& kind, const std::string& name, std::string value,
-                          object_callback done) {
+                          const object_callback& done) {
   write({"PUT", object_path(kind, name), {}, std::move(value)}, done);
 }
 
 void platform_client::remove(const std::string& kind, const std::string& name,
-                             object_callback done) {
+                             const object_callback& done) {
   write({"DELETE", object_path(kind, name), {}, {}}, done);
 }
 
--- a/Source/platform/platform_client.h
+++ b/Source/platform/platform_client.h
@@ -24,13 +24,13 @@
 
   void read(const std::string& kind, const std::string& name, object_callback done);
   void create_if_absent(const std::string& kind, const std::string& name, std::string value,
-                        object_callback done);
+                        const object_callback& done);
   void update_if_version(const std::string& kind, const std::string& name, object_version expected,
-                         std::string value, object_callback done);
+                         std::string value, const object_callback& done);
   /// Writes whatever the object's version is.
   void put(const std::string& kind, const std::string& name, std::string value,
-           object_callback done);
-  void remove(const std::string& kind, const std::string& name, object_callback done);
+           const object_callback& done);
+  void remove(const std::string& kind, const std::string& name, const object_callback& done);
   /// Lists at most `limit` objects whose name starts with `prefix` and sorts after `after`.
   void list(const std::string& kind, const std::string& prefix, const std::string& after,
             std::size_t limit, listing_callback done);
