--- a/Tests/system/drain_test.cpp
+++ b/Tests/system/drain_test.cpp
@@ -82,6 +82,7 @@
   REQUIRE(mesh.wait_ready());
   mesh.instance(3).daemon->send_signal(SIGSTOP);
   std::vector<std::shared_ptr<outstanding_request>> sent;
+  sent.reserve(60);
   for (int i = 0; i < 60; ++i) {
     sent.push_back(mesh.start(mesh.instance(0).caller_port,
                               {"GET", "/statements/" + std::to_string(i), {}, {}}));
--- a/Tests/system/mesh_under_test.cpp
+++ b/Tests/system/mesh_under_test.cpp
@@ -114,7 +114,7 @@
         {"health_interval_ms", 200}}},
       {"platform", {{"address", "127.0.0.1"}, {"port", platform_port_}, {"timeout_ms", 1000}}},
       {"peers", {{"seeds", seeds}}}};
-  const std::string path = folder_ + "/" + one.name + ".json";
+  std::string path = folder_ + "/" + one.name + ".json";
   std::ofstream(path) << document.dump(2);
   return path;
 }
--- a/Tests/system/run_once_test.cpp
+++ b/Tests/system/run_once_test.cpp
@@ -107,6 +107,7 @@
   REQUIRE(mesh.wait_ready());
   // A first advance for each shard, so that the shards have their owners.
   std::vector<std::shared_ptr<outstanding_request>> first;
+  first.reserve(40);
   for (int i = 0; i < 40; ++i) {
     first.push_back(
         mesh.start(mesh.instance(0).caller_port, advance("first-" + std::to_string(i))));
@@ -114,6 +115,7 @@
   mesh.wait_for(first);
   mesh.instance(4).daemon->kill();
   std::vector<std::shared_ptr<outstanding_request>> sent;
+  sent.reserve(40);
   for (int i = 0; i < 40; ++i) {
     sent.push_back(mesh.start(mesh.instance(0).caller_port, advance("later-" + std::to_string(i))));
   }
@@ -138,6 +140,7 @@
   mesh.instance(3).daemon->send_signal(SIGSTOP);
   mesh.wait_for(sent);
   std::vector<std::shared_ptr<outstanding_request>> again;
+  again.reserve(keys.size());
   for (const std::string& key : keys) {
     again.push_back(mesh.start(mesh.instance(1).caller_port, advance(key)));
   }
