Sum the counters of links in one place; remove unused code

Cause: read-through of the change. Three functions of peer_mesh summed a counter over closed and open links with the same loops, and shut_down was never called.

Change: one function takes the counter as a member pointer; shut_down and its flag are gone. Behaviour is the same.

Measured: four system tests pass (521 assertions), the formatter and the linter are clean on the file. The whole suite was not run again.

--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -49,8 +49,7 @@
 }
 
 void peer_mesh::ensure_link(const instance_name& peer) {
-  const bool needless =
-      shut_down_ || peer == settings_.self || linked(peer) || dialling_.contains(peer);
+  const bool needless = peer == settings_.self || linked(peer) || dialling_.contains(peer);
   if (needless) {
     return;
   }
@@ -177,45 +176,26 @@
   }
 }
 
-std::uint64_t peer_mesh::bytes_sent() const {
-  std::uint64_t total = closed_bytes_sent_;
+std::uint64_t peer_mesh::total_of(std::uint64_t closed_links, link_counter counter) const {
+  std::uint64_t total = closed_links;
   for (const auto& [peer, list] : sessions_) {
     for (const auto& session : list) {
-      total += session->link()->bytes_sent();
+      total += (*session->link().*counter)();
     }
   }
   return total;
 }
 
-std::uint64_t peer_mesh::bytes_received() const {
-  std::uint64_t total = closed_bytes_received_;
-  for (const auto& [peer, list] : sessions_) {
-    for (const auto& session : list) {
-      total += session->link()->bytes_received();
-    }
-  }
-  return total;
+std::uint64_t peer_mesh::bytes_sent() const {
+  return total_of(closed_bytes_sent_, &peer_link::bytes_sent);
 }
 
-std::uint64_t peer_mesh::refused_messages() const {
-  std::uint64_t total = closed_refused_messages_;
-  for (const auto& [peer, list] : sessions_) {
-    for (const auto& session : list) {
-      total += session->link()->refused_messages();
-    }
-  }
-  return total;
+std::uint64_t peer_mesh::bytes_received() const {
+  return total_of(closed_bytes_received_, &peer_link::bytes_received);
 }
 
-void peer_mesh::shut_down() {
-  shut_down_ = true;
-  maintenance_ = nullptr;
-  listener_ = nullptr;
-  for (const auto& [peer, list] : sessions_) {
-    for (const auto& session : list) {
-      session->close("shutting down");
-    }
-  }
+std::uint64_t peer_mesh::refused_messages() const {
+  return total_of(closed_refused_messages_, &peer_link::refused_messages);
 }
 
 }  // namespace crocusdoor
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -70,11 +70,9 @@
   [[nodiscard]] std::uint64_t bytes_received() const;
   [[nodiscard]] std::uint64_t refused_messages() const;
 
-  /// Closes all links and accepts no new ones.
-  void shut_down();
-
  private:
   using session_list = std::vector<std::shared_ptr<peer_session>>;
+  using link_counter = std::uint64_t (peer_link::*)() const noexcept;
 
   std::shared_ptr<peer_session> best_session(const instance_name& peer) const;
   void connection_accepted(std::intptr_t descriptor);
@@ -82,6 +80,8 @@
                            const wire::hello& greeting);
   void session_ended(const std::shared_ptr<peer_session>& session, const std::string& reason);
   void maintain_permanent_links();
+  /// Sum of a counter over the closed and the open links.
+  [[nodiscard]] std::uint64_t total_of(std::uint64_t closed_links, link_counter counter) const;
 
   event_loop& loop_;
   random_source& random_;
@@ -101,7 +101,6 @@
   std::uint64_t closed_bytes_sent_ = 0;
   std::uint64_t closed_bytes_received_ = 0;
   std::uint64_t closed_refused_messages_ = 0;
-  bool shut_down_ = false;
 };
 
 }  // namespace crocusdoor
