--- a/Source/command_line/api_client.cpp
+++ b/Source/command_line/api_client.cpp
@@ -9,7 +9,7 @@
 namespace crocusdoor::command_line {
 
 api_client::api_client(event_loop& loop, ip_endpoint api, duration timeout)
-    : loop_(loop), api_(std::move(api)), timeout_(timeout), client_(loop, api_, 1) {}
+    : loop_(loop), api_(std::move(api)), timeout_(timeout), client_(loop, api_, {}) {}
 
 api_answer api_client::call(const std::string& method, const std::string& target,
                             const std::string& body) {
--- a/Source/daemon/instance_directory_api.cpp
+++ b/Source/daemon/instance_directory_api.cpp
@@ -31,7 +31,8 @@
   for (std::size_t i = 0; i < instances.size(); ++i) {
     round->answers[i].instance = instances[i];
     const ip_endpoint remote{instances[i].address, instances[i].api_port};
-    round->clients.push_back(std::make_unique<http_client>(shared_.loop, remote, 1));
+    round->clients.push_back(
+        std::make_unique<http_client>(shared_.loop, remote, http_client_options{}));
     round->clients.back()->send(request, instance_timeout,
                                 [this, round, i](const http_result& result) {
                                   round->answers[i].result = result;
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -34,7 +34,7 @@
         dispatcher_.dispatch(session->peer(), value.content);
       },
       [this](const auto& session, const std::string& reason) { session_ended(session, reason); }});
-  listener_ = std::make_unique<peer_listener>(
+  listener_ = std::make_unique<tcp_listener>(
       loop_, settings_.listen,
       [this](std::intptr_t descriptor) { connection_accepted(descriptor); });
   maintenance_ = loop_.every(maintenance_interval, [this] { maintain_permanent_links(); });
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -12,7 +12,7 @@
 #include "daemon/message_dispatcher.h"
 #include "daemon/peer_session.h"
 #include "transport/event_loop.h"
-#include "transport/peer_listener.h"
+#include "transport/tcp_listener.h"
 
 namespace crocusdoor {
 
@@ -97,7 +97,7 @@
   std::map<instance_name, time_point> next_attempt_;
   std::map<instance_name, int> failed_attempts_;
   timer_handle maintenance_;
-  std::unique_ptr<peer_listener> listener_;
+  std::unique_ptr<tcp_listener> listener_;
   std::uint64_t closed_bytes_sent_ = 0;
   std::uint64_t closed_bytes_received_ = 0;
   std::uint64_t closed_refused_messages_ = 0;
--- a/Source/daemon/target_client.cpp
+++ b/Source/daemon/target_client.cpp
@@ -37,6 +37,7 @@
       answer.reason = "target_unreachable";
       return answer;
     case http_outcome::interrupted:
+    case http_outcome::garbled:
       answer.outcome = verdict::may_have_run;
       answer.reason = "target_connection_lost";
       return answer;
@@ -68,8 +69,8 @@
 target_client::target_client(const daemon_context& shared)
     : shared_(shared),
       client_(shared.loop, {shared.options.target.address, shared.options.target.port},
-              static_cast<std::size_t>(shared.options.target.connections)),
-      prober_(shared.loop, {shared.options.target.address, shared.options.target.port}, 1) {}
+              {.connection_limit = static_cast<std::size_t>(shared.options.target.connections)}),
+      prober_(shared.loop, {shared.options.target.address, shared.options.target.port}, {}) {}
 
 http_call target_client::send(const wire::call& request, time_point deadline, callback done) {
   http_request outgoing;
--- a/Source/platform/platform_client.cpp
+++ b/Source/platform/platform_client.cpp
@@ -76,8 +76,8 @@
 platform_client::platform_client(event_loop& loop, const ip_endpoint& remote, duration timeout,
                                  int connections)
     : timeout_(timeout),
-      calls_(loop, remote, static_cast<std::size_t>(connections)),
-      watcher_(loop, remote, watch_connection_limit) {}
+      calls_(loop, remote, {.connection_limit = static_cast<std::size_t>(connections)}),
+      watcher_(loop, remote, {.connection_limit = watch_connection_limit}) {}
 
 platform_result platform_client::to_result(const http_result& answer) {
   reachable_ = answer.outcome == http_outcome::answered && answer.response.status < 500;
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -2,243 +2,382 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/event.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <charconv>
 #include <deque>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "transport/socket_address.h"
 #include "transport/socket_options.h"
 
 namespace crocusdoor {
 
-namespace detail {
-
 namespace {
 
-evhttp_cmd_type command_of(const std::string& method) {
-  constexpr std::pair<const char*, evhttp_cmd_type> commands[] = {
-      {"GET", EVHTTP_REQ_GET},        {"POST", EVHTTP_REQ_POST},     {"HEAD", EVHTTP_REQ_HEAD},
-      {"PUT", EVHTTP_REQ_PUT},        {"DELETE", EVHTTP_REQ_DELETE}, {"PATCH", EVHTTP_REQ_PATCH},
-      {"OPTIONS", EVHTTP_REQ_OPTIONS}};
-  for (const auto& [name, command] : commands) {
-    if (method == name) {
-      return command;
-    }
-  }
-  return EVHTTP_REQ_GET;
+/// An idle connection is given up this long before the server closes it, so that a request does not
+/// cross the close.
+constexpr duration idle_margin = std::chrono::milliseconds(500);
+constexpr std::size_t read_piece_bytes = 16'384;
+
+timeval to_timeval(duration span) {
+  return {static_cast<time_t>(span.count() / 1'000'000),
+          static_cast<suseconds_t>(span.count() % 1'000'000)};
 }
 
-http_response read_response(evhttp_request* raw) {
-  http_response response;
-  response.status = evhttp_request_get_response_code(raw);
-  for (evkeyval* header = evhttp_request_get_input_headers(raw)->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    response.headers[header->key] = header->value;
+/// Time that the server keeps an idle connection, from its `Keep-Alive` header.
+std::optional<duration> stated_idle_limit(const http_headers& headers) {
+  constexpr std::string_view key = "timeout=";
+  const std::string& value = header_value(headers, "Keep-Alive");
+  const std::size_t found = value.find(key);
+  if (found == std::string::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* begin = value.data() + found + key.size();
+  const auto [end, error] = std::from_chars(begin, value.data() + value.size(), seconds);
+  if (error != std::errc() || seconds < 0) {
+    return std::nullopt;
   }
-  evbuffer* body = evhttp_request_get_input_buffer(raw);
-  response.body.resize(evbuffer_get_length(body));
-  evbuffer_remove(body, response.body.data(), response.body.size());
-  return response;
+  return std::chrono::seconds(seconds);
 }
 
 }  // namespace
 
-struct http_client_connection {
-  evhttp_connection* raw = nullptr;
-  std::shared_ptr<http_client_call> call;
-  bool written = false;
-  bool failed = false;
-
-  http_client_connection() = default;
-  http_client_connection(const http_client_connection&) = delete;
-  http_client_connection& operator=(const http_client_connection&) = delete;
-  ~http_client_connection() {
-    if (raw != nullptr) {
-      evhttp_connection_free(raw);
-    }
-  }
-};
+namespace detail {
 
 struct http_client_call {
   http_request request;
   http_client::callback done;
+  response_filter answers;
   timer_handle timeout;
-  std::weak_ptr<http_client_connection> connection;
+  std::weak_ptr<class http_client_connection> connection;
   bool finished = false;
 };
 
+using call_pointer = std::shared_ptr<http_client_call>;
+using connection_pointer = std::shared_ptr<class http_client_connection>;
+
 struct http_client_state : std::enable_shared_from_this<http_client_state> {
   event_loop& loop;
   ip_endpoint remote;
-  std::size_t connection_limit;
-  std::vector<std::shared_ptr<http_client_connection>> connections;
-  std::deque<std::shared_ptr<http_client_call>> waiting;
+  http_client_options options;
+  std::vector<connection_pointer> connections;
+  std::deque<call_pointer> waiting;
+  std::uint64_t opened = 0;
 
-  http_client_state(event_loop& owner, ip_endpoint endpoint, std::size_t limit)
-      : loop(owner), remote(std::move(endpoint)), connection_limit(limit) {}
+  http_client_state(event_loop& owner, ip_endpoint endpoint, http_client_options chosen)
+      : loop(owner), remote(std::move(endpoint)), options(chosen) {}
 
-  void start_waiting() {
-    while (!waiting.empty()) {
-      const std::shared_ptr<http_client_connection> connection = free_connection();
-      if (connection == nullptr) {
-        return;
-      }
-      const std::shared_ptr<http_client_call> call = waiting.front();
-      waiting.pop_front();
-      if (!call->finished) {
-        dispatch(connection, call);
-      }
+  void start_waiting();
+  connection_pointer free_connection();
+  void finish(const call_pointer& call, const http_result& result);
+  bool abandon(const call_pointer& call);
+  void time_out(const call_pointer& call);
+  void drop(const connection_pointer& connection);
+};
+
+/// One connection to the server. The client's list keeps it alive.
+class http_client_connection : public std::enable_shared_from_this<http_client_connection> {
+ public:
+  explicit http_client_connection(http_client_state& client)
+      : client_(client.weak_from_this()),
+        idle_limit_(client.options.idle_limit),
+        stream_(bufferevent_socket_new(client.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
+    bufferevent_setcb(stream_, &http_client_connection::on_read, nullptr,
+                      &http_client_connection::on_event, this);
+  }
+
+  ~http_client_connection() { bufferevent_free(stream_); }
+
+  http_client_connection(const http_client_connection&) = delete;
+  http_client_connection& operator=(const http_client_connection&) = delete;
+
+  void connect(const ip_endpoint& remote, duration timeout) {
+    const auto address = to_socket_address(remote);
+    const timeval limit = to_timeval(timeout);
+    bufferevent_set_timeouts(stream_, nullptr, &limit);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    const bool started =
+        address.has_value() &&
+        bufferevent_socket_connect(stream_, reinterpret_cast<const sockaddr*>(&*address),
+                                   sizeof(*address)) == 0;
+    if (!started) {
+      post_failure();
     }
   }
 
-  std::shared_ptr<http_client_connection> free_connection() {
-    for (const auto& connection : connections) {
-      if (connection->call == nullptr) {
-        return connection;
-      }
+  /// Sends a request as soon as the connection is established.
+  void carry(const call_pointer& call) {
+    call_ = call;
+    call->connection = weak_from_this();
+    reader_.emplace(call->request.method, size_limits());
+    if (established_) {
+      write_call();
+    }
+  }
+
+  [[nodiscard]] bool busy() const noexcept { return call_ != nullptr; }
+  [[nodiscard]] bool written() const noexcept { return written_; }
+  [[nodiscard]] const call_pointer& call() const noexcept { return call_; }
+
+  /// Whether an idle connection can carry another request: the server has neither closed it nor
+  /// sent bytes that nobody asked for, and will not close it now.
+  [[nodiscard]] bool reusable(time_point now) const {
+    if (!established_ || broken_ || now - idle_since_ >= idle_limit_ - idle_margin) {
+      return false;
     }
-    if (connections.size() >= connection_limit) {
-      return nullptr;
+    char byte = 0;
+    const ssize_t received =
+        ::recv(bufferevent_getfd(stream_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+ private:
+  [[nodiscard]] http_size_limits size_limits() const {
+    const auto client = client_.lock();
+    return client == nullptr ? http_size_limits{} : client->options.size;
+  }
+
+  void write_call() {
+    const auto client = client_.lock();
+    if (client == nullptr) {
+      return;
     }
-    auto connection = std::make_shared<http_client_connection>();
-    connection->raw =
-        evhttp_connection_base_new(loop.base(), nullptr, remote.address.c_str(), remote.port);
-    evhttp_connection_set_retries(connection->raw, 0);
-    evhttp_connection_set_max_body_size(connection->raw, http_body_limit_bytes);
-    evhttp_connection_set_max_headers_size(connection->raw, http_headers_limit_bytes);
-    bufferevent* stream = evhttp_connection_get_bufferevent(connection->raw);
-    evbuffer_add_cb(bufferevent_get_output(stream), &http_client_state::on_output,
-                    connection.get());
-    connections.push_back(connection);
-    return connection;
+    const std::string bytes = write_request(call_->request, to_string(client->remote));
+    written_ = true;
+    bufferevent_write(stream_, bytes.data(), bytes.size());
   }
 
-  /// evhttp writes to the output buffer only once the connection is established, so the first
-  /// added byte marks the moment from which the request may reach the server.
-  static void on_output(evbuffer*, const evbuffer_cb_info* change, void* context) {
-    if (change->n_added > 0) {
-      static_cast<http_client_connection*>(context)->written = true;
+  void connected() {
+    established_ = true;
+    set_connection_options(bufferevent_getfd(stream_));
+    bufferevent_set_timeouts(stream_, nullptr, nullptr);
+    if (call_ != nullptr) {
+      write_call();
     }
   }
 
-  struct request_context {
-    std::weak_ptr<http_client_state> state;
-    std::weak_ptr<http_client_connection> connection;
-    std::shared_ptr<http_client_call> call;
-    bool error = false;
-  };
-
-  void dispatch(const std::shared_ptr<http_client_connection>& connection,
-                const std::shared_ptr<http_client_call>& call) {
-    connection->call = call;
-    connection->written = false;
-    call->connection = connection;
-    auto* context = new request_context{weak_from_this(), connection, call};
-    evhttp_request* raw = evhttp_request_new(&http_client_state::on_response, context);
-    evhttp_request_set_error_cb(raw, &http_client_state::on_error);
-    evkeyvalq* headers = evhttp_request_get_output_headers(raw);
-    for (const auto& [name, value] : call->request.headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
+  void read_available() {
+    evbuffer* buffer = bufferevent_get_input(stream_);
+    while (evbuffer_get_length(buffer) > 0) {
+      const std::size_t old_size = input_.size();
+      input_.resize(old_size + std::min(evbuffer_get_length(buffer), read_piece_bytes));
+      evbuffer_remove(buffer, input_.data() + old_size, input_.size() - old_size);
     }
-    if (!call->request.headers.contains("Host")) {
-      evhttp_add_header(headers, "Host", to_string(remote).c_str());
+    if (call_ == nullptr) {
+      // Nobody waits for a response: the bytes belong to no request.
+      end(http_outcome::garbled);
+      return;
     }
-    // evhttp states the length of a body only with POST, PUT and PATCH.
-    if (!call->request.body.empty() && !call->request.headers.contains("Content-Length")) {
-      evhttp_add_header(headers, "Content-Length",
-                        std::to_string(call->request.body.size()).c_str());
+    while (!input_.empty()) {
+      const read_progress progress = reader_->read(input_);
+      if (progress == read_progress::refused) {
+        end(http_outcome::garbled);
+        return;
+      }
+      if (progress == read_progress::incomplete) {
+        return;
+      }
+      if (response_read()) {
+        return;
+      }
     }
-    evbuffer_add(evhttp_request_get_output_buffer(raw), call->request.body.data(),
-                 call->request.body.size());
-    evhttp_make_request(connection->raw, raw, command_of(call->request.method),
-                        call->request.target.c_str());
   }
 
-  static void on_error(evhttp_request_error, void* context) {
-    static_cast<request_context*>(context)->error = true;
+  /// Takes a whole response; false if it answers another request and reading goes on.
+  bool response_read() {
+    const bool keep = reader_->keep_alive();
+    http_response response = reader_->take();
+    if (call_->answers != nullptr && !call_->answers(response)) {
+      stray_response_ = true;
+      reader_.emplace(call_->request.method, size_limits());
+      if (!keep) {
+        end(http_outcome::interrupted);
+      }
+      return !keep;
+    }
+    if (const auto stated = stated_idle_limit(response.headers)) {
+      idle_limit_ = *stated;
+    }
+    const bool request_unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
+    broken_ = !keep || !input_.empty() || stray_response_ || request_unsent;
+    complete({http_outcome::answered, std::move(response), !reused_, false});
+    return true;
   }
 
-  static void on_response(evhttp_request* raw, void* argument) {
-    const std::unique_ptr<request_context> context(static_cast<request_context*>(argument));
-    const std::shared_ptr<http_client_connection> connection = context->connection.lock();
-    const std::shared_ptr<http_client_state> state = context->state.lock();
-    if (connection == nullptr || state == nullptr) {
+  void complete(const http_result& result) {
+    const call_pointer call = std::move(call_);
+    call_ = nullptr;
+    const auto client = client_.lock();
+    if (client == nullptr) {
       return;
     }
-    http_result result;
-    const bool whole =
-        raw != nullptr && !context->error && evhttp_request_get_response_code(raw) != 0;
-    if (whole) {
-      result.outcome = http_outcome::answered;
-      result.response = read_response(raw);
-      detail::set_connection_options(
-          bufferevent_getfd(evhttp_connection_get_bufferevent(connection->raw)));
-    } else {
-      result.outcome = connection->written ? http_outcome::interrupted : http_outcome::not_sent;
+    idle_since_ = client->loop.now();
+    reused_ = true;
+    written_ = false;
+    client->finish(call, result);
+    if (broken_) {
+      client->drop(shared_from_this());
     }
-    connection->failed = !whole;
-    state->finish(context->call, result);
-    state->loop.post([state, connection] { state->release(connection); });
+    client->loop.post([client] { client->start_waiting(); });
   }
 
-  /// Makes the connection free again, or drops it after a failure.
-  void release(const std::shared_ptr<http_client_connection>& connection) {
-    connection->call = nullptr;
-    if (connection->failed) {
-      std::erase(connections, connection);
+  /// The connection cannot be used any more; ends the request that it carries.
+  void end(http_outcome outcome) {
+    broken_ = true;
+    if (call_ != nullptr) {
+      const bool refused = !written_;
+      complete({refused ? http_outcome::not_sent : outcome, {}, !reused_, refused});
+    } else if (const auto client = client_.lock()) {
+      client->drop(shared_from_this());
     }
-    start_waiting();
   }
 
-  void finish(const std::shared_ptr<http_client_call>& call, const http_result& result) {
-    if (call->finished) {
-      return;
+  void post_failure() {
+    if (const auto client = client_.lock()) {
+      client->loop.post([self = shared_from_this()] { self->end(http_outcome::interrupted); });
     }
-    call->finished = true;
-    call->timeout = nullptr;
-    loop.post([call, result] {
-      const http_client::callback done = std::move(call->done);
-      done(result);
-    });
   }
 
-  /// Closes the connection of a call, if it has one; whether the request may have been sent.
-  bool abandon(const std::shared_ptr<http_client_call>& call) {
-    const std::shared_ptr<http_client_connection> connection = call->connection.lock();
-    if (connection == nullptr || connection->call != call) {
-      return false;
+  /// The server has ended the connection in order, which also ends a response without a length.
+  void closed_by_server() {
+    if (call_ != nullptr && reader_->begun() && reader_->read_end() == read_progress::complete) {
+      broken_ = true;
+      http_response response = reader_->take();
+      const bool ours = call_->answers == nullptr || call_->answers(response);
+      if (ours) {
+        complete({http_outcome::answered, std::move(response), !reused_, false});
+        return;
+      }
     }
-    const bool written = connection->written;
-    std::erase(connections, connection);
-    loop.post([self = shared_from_this(), connection] {
-      connection->call = nullptr;
-      self->start_waiting();
-    });
-    return written;
+    end(http_outcome::interrupted);
   }
 
-  void time_out(const std::shared_ptr<http_client_call>& call) {
-    const bool written = abandon(call);
-    finish(call, {written ? http_outcome::timed_out : http_outcome::not_sent, {}});
+  static void on_read(bufferevent*, void* context) {
+    const auto self = static_cast<http_client_connection*>(context)->shared_from_this();
+    self->read_available();
   }
+
+  static void on_event(bufferevent*, short what, void* context) {
+    const auto self = static_cast<http_client_connection*>(context)->shared_from_this();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      self->connected();
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+      self->closed_by_server();
+    } else if ((what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
+      self->end(http_outcome::interrupted);
+    }
+  }
+
+  std::weak_ptr<http_client_state> client_;
+  duration idle_limit_;
+  bufferevent* stream_;
+  call_pointer call_;
+  std::optional<http_response_reader> reader_;
+  std::string input_;
+  time_point idle_since_{};
+  bool established_ = false;
+  bool written_ = false;
+  bool reused_ = false;
+  bool broken_ = false;
+  bool stray_response_ = false;
 };
 
+void http_client_state::start_waiting() {
+  while (!waiting.empty()) {
+    if (waiting.front()->finished) {
+      waiting.pop_front();
+      continue;
+    }
+    const connection_pointer connection = free_connection();
+    if (connection == nullptr) {
+      return;
+    }
+    const call_pointer call = waiting.front();
+    waiting.pop_front();
+    connection->carry(call);
+  }
+}
+
+/// The most recently added idle connection, or a new one, or null if the limit is reached.
+connection_pointer http_client_state::free_connection() {
+  const time_point now = loop.now();
+  for (std::size_t i = connections.size(); i > 0; --i) {
+    const connection_pointer candidate = connections[i - 1];
+    if (candidate->busy()) {
+      continue;
+    }
+    if (candidate->reusable(now)) {
+      return candidate;
+    }
+    std::erase(connections, candidate);
+  }
+  if (connections.size() >= options.connection_limit) {
+    return nullptr;
+  }
+  auto connection = std::make_shared<http_client_connection>(*this);
+  connections.push_back(connection);
+  ++opened;
+  connection->connect(remote, options.connect_timeout);
+  return connection;
+}
+
+/// Forgets a connection; it is destroyed in a later turn of the loop, because this may be called
+/// from its own callback.
+void http_client_state::drop(const connection_pointer& connection) {
+  std::erase(connections, connection);
+  loop.post([connection] {});
+}
+
+void http_client_state::finish(const call_pointer& call, const http_result& result) {
+  if (call->finished) {
+    return;
+  }
+  call->finished = true;
+  call->timeout = nullptr;
+  loop.post([call, result] {
+    const http_client::callback done = std::move(call->done);
+    done(result);
+  });
+}
+
+/// Closes the connection of a call, if it has one; whether the request may have been sent.
+bool http_client_state::abandon(const call_pointer& call) {
+  const connection_pointer connection = call->connection.lock();
+  if (connection == nullptr || connection->call() != call) {
+    return false;
+  }
+  const bool written = connection->written();
+  drop(connection);
+  loop.post([self = shared_from_this()] { self->start_waiting(); });
+  return written;
+}
+
+void http_client_state::time_out(const call_pointer& call) {
+  const bool written = abandon(call);
+  finish(call, {written ? http_outcome::timed_out : http_outcome::not_sent, {}, false, false});
+}
+
 }  // namespace detail
 
-http_client::http_client(event_loop& loop, ip_endpoint remote, std::size_t connection_limit)
-    : state_(
-          std::make_shared<detail::http_client_state>(loop, std::move(remote), connection_limit)) {}
+http_client::http_client(event_loop& loop, ip_endpoint remote, http_client_options options)
+    : state_(std::make_shared<detail::http_client_state>(loop, std::move(remote), options)) {}
 
-http_client::~http_client() = default;
+http_client::~http_client() {
+  state_->connections.clear();
+}
 
-http_call http_client::send(http_request request, duration timeout, callback done) {
+http_call http_client::send(http_request request, duration timeout, callback done,
+                            response_filter answers) {
   auto call = std::make_shared<detail::http_client_call>();
   call->request = std::move(request);
   call->done = std::move(done);
+  call->answers = std::move(answers);
   std::weak_ptr<detail::http_client_state> state = state_;
   std::weak_ptr<detail::http_client_call> weak_call = call;
   call->timeout = state_->loop.after(timeout, [state, weak_call] {
@@ -262,4 +401,8 @@
   }
 }
 
+std::uint64_t http_client::connections_opened() const noexcept {
+  return state_->opened;
+}
+
 }  // namespace crocusdoor
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "core/enum_names.h"
 #include "core/time.h"
 #include "transport/event_loop.h"
+#include "transport/http_framing.h"
 #include "transport/http_types.h"
 #include "transport/ip_endpoint.h"
 
@@ -16,6 +18,7 @@
   answered,     ///< A whole response arrived.
   not_sent,     ///< No byte of the request was written to a connection.
   interrupted,  ///< The connection ended before a whole response arrived.
+  garbled,      ///< Bytes arrived that are no response to this request.
   timed_out,    ///< No whole response arrived in time.
 };
 
@@ -25,13 +28,30 @@
       {http_outcome::answered, "answered"},
       {http_outcome::not_sent, "not_sent"},
       {http_outcome::interrupted, "interrupted"},
+      {http_outcome::garbled, "garbled"},
       {http_outcome::timed_out, "timed_out"},
   });
 };
 
 struct http_result {
   http_outcome outcome = http_outcome::not_sent;
-  http_response response;  ///< Meaningful if the outcome is `answered`.
+  http_response response;           ///< Meaningful if the outcome is `answered`.
+  bool new_connection = false;      ///< Whether the connection carried no request before.
+  bool connection_refused = false;  ///< Whether no connection could be established.
+};
+
+/// Says whether a response answers a request. A connection may still carry a late response to an
+/// earlier request, which must not be taken for this one's.
+using response_filter = std::function<bool(const http_response&)>;
+
+/// Properties of all connections of a client.
+struct http_client_options {
+  std::size_t connection_limit = 1;  ///< Further requests wait in order.
+  http_size_limits size;             ///< Of responses.
+  /// A connection that has been idle for longer is not used again, unless the server has stated a
+  /// time of its own.
+  duration idle_limit = std::chrono::seconds(60);
+  duration connect_timeout = std::chrono::seconds(3);
 };
 
 namespace detail {
@@ -48,19 +68,23 @@
  public:
   using callback = std::function<void(const http_result&)>;
 
-  /// Opens at most `connection_limit` connections; further requests wait in order.
-  http_client(event_loop& loop, ip_endpoint remote, std::size_t connection_limit);
+  http_client(event_loop& loop, ip_endpoint remote, http_client_options options);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
   /// Sends a request; `done` is called exactly once, in a later turn of the loop. A request that is
-  /// still waiting for a connection at the time-out ends as `not_sent`.
-  http_call send(http_request request, duration timeout, callback done);
+  /// still waiting for a connection at the time-out ends as `not_sent`. Responses that `answers`
+  /// rejects are passed over.
+  http_call send(http_request request, duration timeout, callback done,
+                 response_filter answers = nullptr);
 
   /// Ends a request early by closing its connection; its callback is not called.
   void cancel(const http_call& call);
 
+  /// Connections opened since the start.
+  [[nodiscard]] std::uint64_t connections_opened() const noexcept;
+
  private:
   std::shared_ptr<detail::http_client_state> state_;
 };
--- /dev/null
+++ b/Source/transport/http_framing.cpp
@@ -0,0 +1,260 @@
+#include "transport/http_framing.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace crocusdoor {
+
+namespace http = boost::beast::http;
+
+namespace detail {
+
+struct request_parser {
+  http::request_parser<http::string_body> parser;
+};
+
+struct response_parser {
+  http::response_parser<http::string_body> parser;
+};
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_body_too_large = 413;
+constexpr int status_headers_too_large = 431;
+constexpr int status_not_implemented = 501;
+constexpr int first_final_status = 200;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+/// Hands the front of `bytes` to a parser until it needs more, ends its headers or is done.
+template <typename Parser>
+boost::beast::error_code put(Parser& parser, std::string& bytes) {
+  boost::beast::error_code error;
+  const std::size_t used = parser.put(boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+  bytes.erase(0, used);
+  if (error == http::error::need_more) {
+    error = {};
+  }
+  return error;
+}
+
+template <typename Fields>
+http_headers copy_headers(const Fields& fields) {
+  http_headers headers;
+  for (const auto& field : fields) {
+    const std::string_view value(field.value().data(), field.value().size());
+    const std::string_view name(field.name_string().data(), field.name_string().size());
+    const auto [found, added] = headers.emplace(name, value);
+    if (!added) {
+      found->second.append(", ").append(value);
+    }
+  }
+  return headers;
+}
+
+int refusal_status_for(const boost::beast::error_code& error) {
+  if (error == http::error::header_limit) {
+    return status_headers_too_large;
+  }
+  return error == http::error::body_limit ? status_body_too_large : status_bad_request;
+}
+
+bool has_body_by_method(const std::string& method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+void append_headers(std::string& bytes, const http_headers& headers) {
+  for (const auto& [name, value] : headers) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  }
+}
+
+}  // namespace
+
+}  // namespace detail
+
+http_request_reader::http_request_reader(http_size_limits limits)
+    : parser_(std::make_unique<detail::request_parser>()) {
+  parser_->parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser_->parser.body_limit(limits.body_bytes);
+}
+
+http_request_reader::~http_request_reader() = default;
+http_request_reader::http_request_reader(http_request_reader&&) noexcept = default;
+http_request_reader& http_request_reader::operator=(http_request_reader&&) noexcept = default;
+
+read_progress http_request_reader::read(std::string& bytes) {
+  auto& parser = parser_->parser;
+  while (!parser.is_done()) {
+    const bool headers_were_done = parser.is_header_done();
+    const std::size_t before = bytes.size();
+    const boost::beast::error_code error = detail::put(parser, bytes);
+    if (error) {
+      refusal_status_ = detail::refusal_status_for(error);
+      return read_progress::refused;
+    }
+    if (parser.is_header_done() && !headers_were_done) {
+      if (!accept_headers()) {
+        return read_progress::refused;
+      }
+      parser.eager(true);
+      continue;
+    }
+    if (!parser.is_done() && (bytes.empty() || bytes.size() == before)) {
+      return read_progress::incomplete;
+    }
+  }
+  return read_progress::complete;
+}
+
+/// The parser takes the last of several hosts and passes over transfer codings that it does not
+/// know, so these are checked here.
+bool http_request_reader::accept_headers() {
+  const auto& message = parser_->parser.get();
+  const auto codings = message.count(http::field::transfer_encoding);
+  const auto lengths = message.count(http::field::content_length);
+  const bool ambiguous_length = codings + lengths > 1;
+  const bool ambiguous_host = message.count(http::field::host) != 1;
+  const std::string_view target(message.target().data(), message.target().size());
+  if (ambiguous_length || ambiguous_host || !target.starts_with('/')) {
+    refusal_status_ = detail::status_bad_request;
+    return false;
+  }
+  const auto coding = message[http::field::transfer_encoding];
+  if (codings == 1 && !boost::beast::iequals(coding, "chunked")) {
+    refusal_status_ = detail::status_not_implemented;
+    return false;
+  }
+  request_.method = std::string(message.method_string());
+  request_.target = std::string(target);
+  request_.headers = detail::copy_headers(message);
+  return true;
+}
+
+bool http_request_reader::in_body() const noexcept {
+  return parser_->parser.is_header_done() && !parser_->parser.is_done();
+}
+
+bool http_request_reader::expects_continue() const {
+  return has_token(header_value(request_.headers, "Expect"), "100-continue");
+}
+
+bool http_request_reader::keep_alive() const {
+  return parser_->parser.get().keep_alive();
+}
+
+http_request http_request_reader::take() {
+  request_.body = std::move(parser_->parser.get().body());
+  return std::move(request_);
+}
+
+http_response_reader::http_response_reader(const std::string& request_method,
+                                           http_size_limits limits)
+    : request_method_(request_method), limits_(limits) {
+  start();
+}
+
+http_response_reader::~http_response_reader() = default;
+http_response_reader::http_response_reader(http_response_reader&&) noexcept = default;
+http_response_reader& http_response_reader::operator=(http_response_reader&&) noexcept = default;
+
+void http_response_reader::start() {
+  parser_ = std::make_unique<detail::response_parser>();
+  parser_->parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+  parser_->parser.body_limit(limits_.body_bytes);
+  parser_->parser.skip(request_method_ == "HEAD");
+}
+
+read_progress http_response_reader::read(std::string& bytes) {
+  begun_ = begun_ || !bytes.empty();
+  while (!parser_->parser.is_done()) {
+    auto& parser = parser_->parser;
+    const bool headers_were_done = parser.is_header_done();
+    const std::size_t before = bytes.size();
+    if (detail::put(parser, bytes)) {
+      return read_progress::refused;
+    }
+    if (parser.is_header_done() && !headers_were_done) {
+      const auto& message = parser.get();
+      const auto codings = message.count(http::field::transfer_encoding);
+      const auto lengths = message.count(http::field::content_length);
+      const bool framed_badly =
+          codings + lengths > 1 ||
+          (codings == 1 &&
+           !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
+      if (framed_badly) {
+        return read_progress::refused;
+      }
+      if (static_cast<int>(message.result_int()) < detail::first_final_status) {
+        start();
+        continue;
+      }
+      response_.status = static_cast<int>(message.result_int());
+      response_.headers = detail::copy_headers(message);
+      parser.eager(true);
+      continue;
+    }
+    if (!parser.is_done() && (bytes.empty() || bytes.size() == before)) {
+      return read_progress::incomplete;
+    }
+  }
+  return read_progress::complete;
+}
+
+read_progress http_response_reader::read_end() {
+  auto& parser = parser_->parser;
+  if (!parser.is_header_done()) {
+    return read_progress::refused;
+  }
+  boost::beast::error_code error;
+  parser.put_eof(error);
+  return error || !parser.is_done() ? read_progress::refused : read_progress::complete;
+}
+
+bool http_response_reader::keep_alive() const {
+  return parser_->parser.keep_alive();
+}
+
+http_response http_response_reader::take() {
+  response_.body = std::move(parser_->parser.get().body());
+  return std::move(response_);
+}
+
+std::string write_request(const http_request& request, const std::string& default_host) {
+  std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+  if (!request.headers.contains("Host")) {
+    bytes.append("Host: ").append(default_host).append("\r\n");
+  }
+  detail::append_headers(bytes, request.headers);
+  const bool states_length = !request.body.empty() || detail::has_body_by_method(request.method);
+  if (states_length && !request.headers.contains("Content-Length")) {
+    bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+  }
+  return bytes.append("\r\n").append(request.body);
+}
+
+std::string write_response(const http_response& response, const std::string& request_method,
+                           bool keep_alive) {
+  const auto status = static_cast<unsigned int>(response.status);
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " ";
+  bytes.append(http::obsolete_reason(http::int_to_status(status))).append("\r\n");
+  detail::append_headers(bytes, response.headers);
+  const bool bodiless = response.status == detail::status_no_content ||
+                        response.status == detail::status_not_modified || request_method == "HEAD";
+  if (!bodiless && !response.headers.contains("Content-Length")) {
+    bytes.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n");
+  }
+  if (!keep_alive && !response.headers.contains("Connection")) {
+    bytes.append("Connection: close\r\n");
+  }
+  bytes.append("\r\n");
+  return bodiless ? bytes : bytes.append(response.body);
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/transport/http_framing.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "transport/http_types.h"
+
+namespace crocusdoor {
+
+/// Largest message that a reader accepts.
+struct http_size_limits {
+  std::size_t header_bytes = http_headers_limit_bytes;
+  std::size_t body_bytes = http_body_limit_bytes;
+  friend bool operator==(const http_size_limits&, const http_size_limits&) = default;
+};
+
+enum class read_progress {
+  incomplete,  ///< More bytes are needed.
+  complete,    ///< A whole message has been read.
+  refused,     ///< The bytes are not an acceptable message; nothing after them can be trusted.
+};
+
+namespace detail {
+struct request_parser;
+struct response_parser;
+}  // namespace detail
+
+/// Reads one request from a stream of bytes. It alone decides where a request ends: a request whose
+/// framing two readers could understand differently is refused (RFC 9112 sections 6 and 11.2).
+class http_request_reader {
+ public:
+  explicit http_request_reader(http_size_limits limits);
+  ~http_request_reader();
+  http_request_reader(http_request_reader&&) noexcept;
+  http_request_reader& operator=(http_request_reader&&) noexcept;
+
+  /// Consumes what belongs to the request from the front of `bytes`.
+  [[nodiscard]] read_progress read(std::string& bytes);
+
+  /// Whether the headers are complete and the body is not.
+  [[nodiscard]] bool in_body() const noexcept;
+  /// Whether the client waits for a 100 response before it sends the body.
+  [[nodiscard]] bool expects_continue() const;
+  /// Status that answers a refused request.
+  [[nodiscard]] int refusal_status() const noexcept { return refusal_status_; }
+  /// Whether the client keeps the connection after this request.
+  [[nodiscard]] bool keep_alive() const;
+  /// The request; call once, when it is complete.
+  [[nodiscard]] http_request take();
+
+ private:
+  [[nodiscard]] bool accept_headers();
+
+  std::unique_ptr<detail::request_parser> parser_;
+  http_request request_;
+  int refusal_status_ = 400;
+};
+
+/// Reads one response from a stream of bytes. Interim responses (1xx) are passed over.
+class http_response_reader {
+ public:
+  http_response_reader(const std::string& request_method, http_size_limits limits);
+  ~http_response_reader();
+  http_response_reader(http_response_reader&&) noexcept;
+  http_response_reader& operator=(http_response_reader&&) noexcept;
+
+  /// Consumes what belongs to the response from the front of `bytes`.
+  [[nodiscard]] read_progress read(std::string& bytes);
+  /// The connection has ended in order. Completes a response without a stated length; any other
+  /// response that is not complete is cut off.
+  [[nodiscard]] read_progress read_end();
+
+  /// Whether any byte of the response has been read.
+  [[nodiscard]] bool begun() const noexcept { return begun_; }
+  /// Whether the server keeps the connection after this response.
+  [[nodiscard]] bool keep_alive() const;
+  /// The response; call once, when it is complete.
+  [[nodiscard]] http_response take();
+
+ private:
+  void start();
+
+  std::string request_method_;
+  http_size_limits limits_;
+  std::unique_ptr<detail::response_parser> parser_;
+  http_response response_;
+  bool begun_ = false;
+};
+
+/// The bytes of a request. Its length is stated if it has a body or its method usually has one.
+[[nodiscard]] std::string write_request(const http_request& request,
+                                        const std::string& default_host);
+
+/// The bytes of a response to a request with the given method.
+[[nodiscard]] std::string write_response(const http_response& response,
+                                         const std::string& request_method, bool keep_alive);
+
+}  // namespace crocusdoor
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -1,212 +1,376 @@
 #include "transport/http_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <strings.h>
 
-#include <array>
-#include <stdexcept>
-#include <string_view>
+#include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "transport/socket_options.h"
+#include "transport/tcp_listener.h"
 
 namespace crocusdoor {
 
 namespace {
 
-/// An idle client connection is closed after this time.
-constexpr int idle_timeout_s = 120;
-
-constexpr ev_uint16_t allowed_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
-                                        EVHTTP_REQ_OPTIONS;
-
-std::string method_name(evhttp_cmd_type command) {
-  switch (command) {
-    case EVHTTP_REQ_GET:
-      return "GET";
-    case EVHTTP_REQ_POST:
-      return "POST";
-    case EVHTTP_REQ_HEAD:
-      return "HEAD";
-    case EVHTTP_REQ_PUT:
-      return "PUT";
-    case EVHTTP_REQ_DELETE:
-      return "DELETE";
-    case EVHTTP_REQ_PATCH:
-      return "PATCH";
-    case EVHTTP_REQ_OPTIONS:
-      return "OPTIONS";
-    default:
-      return "OTHER";
+/// How often the timeouts of connections are checked.
+constexpr duration sweep_interval = std::chrono::milliseconds(200);
+/// How long a connection that the server ends stays open for the client to read the last answer.
+/// Closing it with unread bytes would reset it and could destroy the answer on its way.
+constexpr duration linger_time = std::chrono::seconds(1);
+/// Unread input of one connection while its request is answered; pipelined requests wait here.
+constexpr std::size_t input_limit_bytes = 65'536;
+/// Largest piece of one read.
+constexpr std::size_t read_piece_bytes = 16'384;
+
+constexpr int status_request_timeout = 408;
+
+}  // namespace
+
+namespace detail {
+
+struct http_server_state : std::enable_shared_from_this<http_server_state> {
+  using connection_pointer = std::shared_ptr<http_server_connection>;
+
+  event_loop& loop;
+  http_server::handler on_request;
+  http_server_limits limits;
+  bool closing = false;
+  std::set<connection_pointer> connections;
+  std::unique_ptr<tcp_listener> listener;
+  timer_handle sweep_timer;
+
+  http_server_state(event_loop& owner, http_server::handler handler, http_server_limits allowed)
+      : loop(owner), on_request(std::move(handler)), limits(allowed) {}
+};
+
+/// One connection of a client. The server's set and the exchange in progress keep it alive.
+class http_server_connection : public std::enable_shared_from_this<http_server_connection> {
+ public:
+  http_server_connection(const std::shared_ptr<http_server_state>& server, int descriptor)
+      : server_(server),
+        reader_(server->limits.size),
+        active_at_(server->loop.now()),
+        stream_(bufferevent_socket_new(server->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)) {
+    set_connection_options(descriptor);
+    bufferevent_setcb(stream_, &http_server_connection::on_read, &http_server_connection::on_write,
+                      &http_server_connection::on_event, this);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
   }
-}
 
-std::string drain_to_string(evbuffer* buffer) {
-  std::string text(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, text.data(), text.size());
-  return text;
-}
+  ~http_server_connection() {
+    if (stream_ != nullptr) {
+      bufferevent_free(stream_);
+    }
+  }
 
-/// evhttp reads a body only with POST, PUT and PATCH. With another method it would take the body
-/// for the next request on the connection, and the client would get answers to requests it did not
-/// make.
-bool has_unread_body(evhttp_request* raw) {
-  const evhttp_cmd_type command = evhttp_request_get_command(raw);
-  if (command == EVHTTP_REQ_POST || command == EVHTTP_REQ_PUT || command == EVHTTP_REQ_PATCH) {
-    return false;
-  }
-  const evkeyvalq* headers = evhttp_request_get_input_headers(raw);
-  const char* length = evhttp_find_header(headers, "Content-Length");
-  return evhttp_find_header(headers, "Transfer-Encoding") != nullptr ||
-         (length != nullptr && std::string_view(length) != "0");
-}
+  http_server_connection(const http_server_connection&) = delete;
+  http_server_connection& operator=(const http_server_connection&) = delete;
 
-http_request read_request(evhttp_request* raw) {
-  http_request request;
-  request.method = method_name(evhttp_request_get_command(raw));
-  request.target = evhttp_request_get_uri(raw);
-  for (evkeyval* header = evhttp_request_get_input_headers(raw)->tqh_first; header != nullptr;
-       header = header->next.tqe_next) {
-    request.headers[header->key] = header->value;
+  void answer(const http_request& request, const http_response& response) {
+    if (stream_ == nullptr || phase_ != phase::answering) {
+      return;
+    }
+    const std::shared_ptr<http_server_state> server = server_.lock();
+    const bool keep = keep_alive_ && server != nullptr && !server->closing &&
+                      !has_token(header_value(response.headers, "Connection"), "close");
+    write(write_response(response, request.method, keep));
+    exchange_.reset();
+    if (keep) {
+      begin_request();
+      post_read();
+    } else {
+      finish_writing();
+    }
   }
-  request.body = drain_to_string(evhttp_request_get_input_buffer(raw));
-  return request;
-}
 
-}  // namespace
+  void close() {
+    if (stream_ == nullptr) {
+      return;
+    }
+    phase_ = phase::closed;
+    bufferevent_free(stream_);
+    stream_ = nullptr;
+    if (const auto server = server_.lock()) {
+      // The set may hold the last reference, and the caller is a member of this object.
+      server->loop.post([self = shared_from_this(), server] { server->connections.erase(self); });
+    }
+  }
 
-bool header_name_less::operator()(const std::string& left, const std::string& right) const {
-  return strcasecmp(left.c_str(), right.c_str()) < 0;
-}
+  /// Applies the timeouts of the client's side.
+  void check_timeouts(const http_server_limits& limits, time_point now) {
+    const duration quiet = now - active_at_;
+    switch (phase_) {
+      case phase::idle:
+        if (quiet >= limits.idle_timeout) {
+          close();
+        }
+        break;
+      case phase::reading:
+        check_reading(limits, now);
+        break;
+      case phase::lingering:
+        if (quiet >= linger_time) {
+          close();
+        }
+        break;
+      case phase::answering:
+      case phase::closed:
+        break;
+    }
+  }
 
-http_exchange::http_exchange(evhttp_request* raw, http_request received)
-    : raw_(raw), request_(std::move(received)) {
-  evhttp_connection_set_closecb(evhttp_request_get_connection(raw),
-                                &http_exchange::connection_closed, this);
-  watch_for_close();
-}
+  [[nodiscard]] bool is_idle() const noexcept { return phase_ == phase::idle; }
+  [[nodiscard]] bool is_active() const noexcept {
+    return phase_ == phase::reading || phase_ == phase::answering;
+  }
 
-/// evhttp does not read from a connection while its request is unanswered, so it does not notice
-/// that the client has gone.
-void http_exchange::watch_for_close() {
-  evhttp_connection* connection = evhttp_request_get_connection(raw_);
-  close_watch_ = event_new(evhttp_connection_get_base(connection),
-                           bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-                           EV_CLOSED, &http_exchange::peer_closed, this);
-  event_add(close_watch_, nullptr);
-}
+ private:
+  enum class phase { idle, reading, answering, lingering, closed };
 
-void http_exchange::peer_closed(int, short, void* context) {
-  auto* exchange = static_cast<http_exchange*>(context);
-  evhttp_connection_free(evhttp_request_get_connection(exchange->raw_));
-}
+  void begin_request() {
+    phase_ = phase::idle;
+    active_at_ = now();
+    continue_sent_ = false;
+    if (const auto server = server_.lock()) {
+      reader_ = http_request_reader(server->limits.size);
+    }
+  }
 
-/// Ends the exchange's interest in its connection.
-evhttp_connection* http_exchange::detach() {
-  event_free(close_watch_);
-  close_watch_ = nullptr;
-  evhttp_connection* connection = evhttp_request_get_connection(raw_);
-  evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  return connection;
-}
+  [[nodiscard]] time_point now() const {
+    const auto server = server_.lock();
+    return server == nullptr ? active_at_ : server->loop.now();
+  }
+
+  void check_reading(const http_server_limits& limits, time_point now) {
+    const bool late_headers = !reader_.in_body() && now - begun_at_ >= limits.header_timeout;
+    const bool late_body = reader_.in_body() && now - active_at_ >= limits.idle_timeout;
+    if (late_headers || late_body) {
+      refuse(status_request_timeout);
+    }
+  }
+
+  void write(const std::string& bytes) { bufferevent_write(stream_, bytes.data(), bytes.size()); }
+
+  /// Ends the connection once the output has left.
+  void finish_writing() {
+    phase_ = phase::lingering;
+    active_at_ = now();
+    if (evbuffer_get_length(bufferevent_get_output(stream_)) == 0) {
+      ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+    }
+  }
+
+  void refuse(int status) {
+    write(write_response({status, {}, ""}, "GET", false));
+    finish_writing();
+  }
+
+  /// Reads a pipelined request in a later turn of the loop, so that a long series of them does not
+  /// nest.
+  void post_read() {
+    const auto server = server_.lock();
+    if (server != nullptr && (!input_.empty() || pending_input() > 0)) {
+      server->loop.post([self = shared_from_this()] { self->read_available(); });
+    }
+  }
+
+  [[nodiscard]] std::size_t pending_input() const {
+    return evbuffer_get_length(bufferevent_get_input(stream_));
+  }
+
+  void take_input() {
+    evbuffer* buffer = bufferevent_get_input(stream_);
+    while (evbuffer_get_length(buffer) > 0) {
+      const std::size_t old_size = input_.size();
+      input_.resize(old_size + std::min(evbuffer_get_length(buffer), read_piece_bytes));
+      evbuffer_remove(buffer, input_.data() + old_size, input_.size() - old_size);
+    }
+  }
+
+  void read_available() {
+    if (stream_ == nullptr) {
+      return;
+    }
+    if (phase_ == phase::lingering) {
+      evbuffer_drain(bufferevent_get_input(stream_), pending_input());
+      return;
+    }
+    if (phase_ == phase::answering) {
+      // Reading on notices a client that leaves; the bytes wait for their turn.
+      bufferevent_setwatermark(stream_, EV_READ, 0, input_limit_bytes);
+      return;
+    }
+    bufferevent_setwatermark(stream_, EV_READ, 0, 0);
+    take_input();
+    read_request();
+  }
+
+  void read_request() {
+    if (input_.empty() && phase_ == phase::idle) {
+      return;
+    }
+    active_at_ = now();
+    if (phase_ == phase::idle) {
+      phase_ = phase::reading;
+      begun_at_ = active_at_;
+    }
+    const read_progress progress = reader_.read(input_);
+    if (progress == read_progress::refused) {
+      refuse(reader_.refusal_status());
+    } else if (progress == read_progress::complete) {
+      hand_over();
+    } else if (reader_.in_body() && reader_.expects_continue() && !continue_sent_) {
+      continue_sent_ = true;
+      write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void hand_over() {
+    const auto server = server_.lock();
+    if (server == nullptr) {
+      close();
+      return;
+    }
+    phase_ = phase::answering;
+    keep_alive_ = reader_.keep_alive();
+    const auto exchange = std::make_shared<http_exchange>(shared_from_this(), reader_.take());
+    exchange_ = exchange;
+    server->on_request(exchange);
+  }
+
+  void client_closed() {
+    const std::shared_ptr<http_exchange> waiting = exchange_.lock();
+    close();
+    if (waiting != nullptr) {
+      waiting->client_gone();
+    }
+  }
+
+  static void on_read(bufferevent*, void* context) {
+    const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
+    self->read_available();
+  }
+
+  static void on_write(bufferevent* stream, void* context) {
+    if (static_cast<http_server_connection*>(context)->phase_ == phase::lingering) {
+      ::shutdown(bufferevent_getfd(stream), SHUT_WR);
+    }
+  }
+
+  static void on_event(bufferevent*, short what, void* context) {
+    const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      self->client_closed();
+    }
+  }
+
+  std::weak_ptr<http_server_state> server_;
+  http_request_reader reader_;
+  std::weak_ptr<http_exchange> exchange_;
+  std::string input_;
+  phase phase_ = phase::idle;
+  bool keep_alive_ = true;
+  bool continue_sent_ = false;
+  time_point begun_at_{};
+  time_point active_at_{};
+  bufferevent* stream_;
+};
+
+}  // namespace detail
+
+http_exchange::http_exchange(std::shared_ptr<detail::http_server_connection> connection,
+                             http_request received)
+    : connection_(std::move(connection)), request_(std::move(received)) {}
 
 http_exchange::~http_exchange() {
-  if (!answered_) {
+  if (!answered_ && !disconnected_) {
     respond({500, {}, "no answer was produced\n"});
   }
 }
 
 void http_exchange::respond(const http_response& answer) {
-  if (answered_ || raw_ == nullptr) {
+  if (answered_ || disconnected_) {
     return;
   }
   answered_ = true;
   disconnect_action_ = nullptr;
-  detach();
-  evkeyvalq* headers = evhttp_request_get_output_headers(raw_);
-  for (const auto& [name, value] : answer.headers) {
-    evhttp_add_header(headers, name.c_str(), value.c_str());
-  }
-  evbuffer* body = evhttp_request_get_output_buffer(raw_);
-  evbuffer_add(body, answer.body.data(), answer.body.size());
-  evhttp_send_reply(raw_, answer.status, nullptr, nullptr);
-  raw_ = nullptr;
+  connection_->answer(request_, answer);
 }
 
 void http_exchange::close() {
-  if (answered_ || raw_ == nullptr) {
+  if (answered_ || disconnected_) {
     return;
   }
   answered_ = true;
   disconnect_action_ = nullptr;
-  evhttp_connection* connection = detach();
-  raw_ = nullptr;
-  evhttp_connection_free(connection);
+  connection_->close();
 }
 
-void http_exchange::connection_closed(evhttp_connection*, void* context) {
-  auto* exchange = static_cast<http_exchange*>(context);
-  event_free(exchange->close_watch_);
-  exchange->close_watch_ = nullptr;
-  exchange->raw_ = nullptr;
-  const std::function<void()> action = std::move(exchange->disconnect_action_);
+void http_exchange::client_gone() {
+  if (answered_) {
+    return;
+  }
+  disconnected_ = true;
+  const std::function<void()> action = std::move(disconnect_action_);
   if (action) {
     action();
   }
 }
 
-struct http_server::state {
-  evhttp* server = nullptr;
-  handler on_request;
-  std::uint16_t port = 0;
-
-  static void on_evhttp_request(evhttp_request* raw, void* context) {
-    auto* self = static_cast<state*>(context);
-    if (has_unread_body(raw)) {
-      evhttp_add_header(evhttp_request_get_output_headers(raw), "Connection", "close");
-      evhttp_send_reply(raw, 400, "a body is not accepted with this method", nullptr);
-      return;
+http_server::http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
+                         http_server_limits limits)
+    : state_(std::make_shared<detail::http_server_state>(loop, std::move(on_request), limits)) {
+  state_->listener =
+      std::make_unique<tcp_listener>(loop, local, [state = state_.get()](std::intptr_t accepted) {
+        state->connections.insert(std::make_shared<detail::http_server_connection>(
+            state->weak_from_this().lock(), static_cast<int>(accepted)));
+      });
+  state_->sweep_timer = loop.every(sweep_interval, [state = state_.get()] {
+    const time_point now = state->loop.now();
+    for (const auto& connection : state->connections) {
+      connection->check_timeouts(state->limits, now);
     }
-    bufferevent* connection = evhttp_connection_get_bufferevent(evhttp_request_get_connection(raw));
-    detail::set_connection_options(bufferevent_getfd(connection));
-    self->on_request(std::make_shared<http_exchange>(raw, read_request(raw)));
+  });
+}
+
+http_server::~http_server() {
+  const auto connections = state_->connections;
+  for (const auto& connection : connections) {
+    connection->close();
   }
-};
+  state_->connections.clear();
+}
 
-http_server::http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
-                         std::size_t body_limit_bytes)
-    : state_(std::make_unique<state>()) {
-  state_->on_request = std::move(on_request);
-  state_->server = evhttp_new(loop.base());
-  evhttp_set_max_body_size(state_->server, static_cast<ev_ssize_t>(body_limit_bytes));
-  evhttp_set_max_headers_size(state_->server, http_headers_limit_bytes);
-  evhttp_set_timeout(state_->server, idle_timeout_s);
-  evhttp_set_allowed_methods(state_->server, allowed_methods);
-  evhttp_set_gencb(state_->server, &state::on_evhttp_request, state_.get());
-  evhttp_bound_socket* bound =
-      evhttp_bind_socket_with_handle(state_->server, local.address.c_str(), local.port);
-  if (bound == nullptr) {
-    evhttp_free(state_->server);
-    throw std::runtime_error("cannot listen on " + to_string(local));
-  }
-  sockaddr_in address{};
-  socklen_t length = sizeof(address);
-  getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&address), &length);
-  state_->port = ntohs(address.sin_port);
+void http_server::set_limits(const http_server_limits& limits) {
+  state_->limits = limits;
 }
 
-http_server::~http_server() {
-  evhttp_free(state_->server);
+void http_server::announce_close() {
+  state_->closing = true;
+}
+
+void http_server::close_idle() {
+  for (const auto& connection : state_->connections) {
+    if (connection->is_idle()) {
+      connection->close();
+    }
+  }
+}
+
+std::size_t http_server::active() const {
+  std::size_t count = 0;
+  for (const auto& connection : state_->connections) {
+    count += connection->is_active() ? 1 : 0;
+  }
+  return count;
 }
 
 std::uint16_t http_server::port() const noexcept {
-  return state_->port;
+  return state_->listener->port();
 }
 
 }  // namespace crocusdoor
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -4,27 +4,29 @@
 #include <memory>
 
 #include "transport/event_loop.h"
+#include "transport/http_framing.h"
 #include "transport/http_types.h"
 #include "transport/ip_endpoint.h"
 
-struct evhttp_connection;
-struct evhttp_request;
-struct event;
-
 namespace crocusdoor {
 
+namespace detail {
+class http_server_connection;
+struct http_server_state;
+}  // namespace detail
+
 /// One request that a server received and its answer, which may be sent in a later turn of the
 /// loop. An exchange that is destroyed without an answer sends status 500.
-class http_exchange : public std::enable_shared_from_this<http_exchange> {
+class http_exchange {
  public:
-  http_exchange(evhttp_request* raw, http_request received);
+  http_exchange(std::shared_ptr<detail::http_server_connection> connection, http_request received);
   ~http_exchange();
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
 
   [[nodiscard]] const http_request& request() const noexcept { return request_; }
   /// Whether the client has closed its connection; an answer is then dropped.
-  [[nodiscard]] bool disconnected() const noexcept { return raw_ == nullptr && !answered_; }
+  [[nodiscard]] bool disconnected() const noexcept { return disconnected_; }
   /// Sends the answer; only the first call has an effect.
   void respond(const http_response& answer);
   /// Closes the connection without an answer. Not to be called from within the server's handler;
@@ -35,37 +37,49 @@
   void on_disconnect(std::function<void()> action) { disconnect_action_ = std::move(action); }
 
  private:
-  friend class http_server;
-  static void connection_closed(evhttp_connection* connection, void* context);
-  static void peer_closed(int descriptor, short kind, void* context);
-  void watch_for_close();
-  evhttp_connection* detach();
+  friend class detail::http_server_connection;
+  void client_gone();
 
-  evhttp_request* raw_;
-  event* close_watch_ = nullptr;
+  std::shared_ptr<detail::http_server_connection> connection_;
   http_request request_;
   bool answered_ = false;
+  bool disconnected_ = false;
   std::function<void()> disconnect_action_;
 };
 
-/// HTTP/1.1 server on the loop.
+/// What a client may send and how long it may take.
+struct http_server_limits {
+  http_size_limits size;
+  duration header_timeout = std::chrono::seconds(30);  ///< From a request's first byte.
+  duration idle_timeout = std::chrono::seconds(120);   ///< Between requests, and within a body.
+  friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
+};
+
+/// HTTP/1.1 server on the loop. Requests of one connection are handed over one at a time.
 class http_server {
  public:
   using handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
 
-  /// A request with a larger body is answered with status 413 before it reaches the handler. Throws
-  /// std::runtime_error if the endpoint cannot be bound.
+  /// Throws std::runtime_error if the endpoint cannot be bound.
   http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
-              std::size_t body_limit_bytes = http_body_limit_bytes);
+              http_server_limits limits = {});
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
+  /// Limits of requests whose first byte has not been read yet.
+  void set_limits(const http_server_limits& limits);
+  /// Lets every further answer end its connection.
+  void announce_close();
+  /// Closes the connections on which no request is being read or answered.
+  void close_idle();
+
+  /// Requests that are being read or answered.
+  [[nodiscard]] std::size_t active() const;
   [[nodiscard]] std::uint16_t port() const noexcept;
 
  private:
-  struct state;
-  std::unique_ptr<state> state_;
+  std::shared_ptr<detail::http_server_state> state_;
 };
 
 }  // namespace crocusdoor
--- a/Source/transport/http_types.h
+++ b/Source/transport/http_types.h
@@ -11,6 +11,7 @@
   bool operator()(const std::string& left, const std::string& right) const;
 };
 
+/// Headers by name. Lines with the same name are joined by commas, as RFC 9110 section 5.3 allows.
 using http_headers = std::map<std::string, std::string, header_name_less>;
 
 /// Largest request or response body, in bytes.
@@ -31,4 +32,14 @@
   std::string body;
 };
 
+/// Value of a header, or an empty text.
+[[nodiscard]] const std::string& header_value(const http_headers& headers, const std::string& name);
+
+/// Whether a comma-separated header value has this token, without regard to case.
+[[nodiscard]] bool has_token(const std::string& value, const std::string& token);
+
+/// The headers that a proxy passes on: without those that concern one connection only (RFC 9110
+/// section 7.6.1) and without those that frame the body.
+[[nodiscard]] http_headers end_to_end_headers(const http_headers& headers);
+
 }  // namespace crocusdoor
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -1,6 +1,5 @@
 #include "transport/peer_link.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -9,6 +8,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "transport/socket_address.h"
 #include "transport/socket_options.h"
 #include "wire/message_codec.h"
 
@@ -50,14 +50,11 @@
       new peer_link(loop, websocket_session::role::client, std::move(callbacks)));
   link->self_ = link;
   link->attach(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
-  sockaddr_storage address{};
-  int length = sizeof(address);
-  const bool numeric =
-      evutil_parse_sockaddr_port(to_string(remote).c_str(), reinterpret_cast<sockaddr*>(&address),
-                                 &length) == 0;
+  const auto address = detail::to_socket_address(remote);
   const bool started =
-      numeric && bufferevent_socket_connect(link->connection_,
-                                            reinterpret_cast<sockaddr*>(&address), length) == 0;
+      address.has_value() &&
+      bufferevent_socket_connect(link->connection_, reinterpret_cast<const sockaddr*>(&*address),
+                                 sizeof(*address)) == 0;
   if (started) {
     bufferevent_set_timeouts(link->connection_, nullptr, &connect_timeout);
   } else {
--- /dev/null
+++ b/Source/transport/tcp_listener.cpp
@@ -0,0 +1,53 @@
+#include "transport/tcp_listener.h"
+
+#include <event2/listener.h>
+
+#include <stdexcept>
+#include <utility>
+
+#include "transport/socket_address.h"
+
+namespace crocusdoor {
+
+struct tcp_listener::state {
+  std::function<void(std::intptr_t)> accepted;
+  evconnlistener* listener = nullptr;
+  std::uint16_t port = 0;
+
+  static void on_accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
+                        void* context) {
+    static_cast<state*>(context)->accepted(descriptor);
+  }
+};
+
+tcp_listener::tcp_listener(event_loop& loop, const ip_endpoint& local,
+                           std::function<void(std::intptr_t)> accepted)
+    : state_(std::make_unique<state>()) {
+  state_->accepted = std::move(accepted);
+  const auto address = detail::to_socket_address(local);
+  if (!address.has_value()) {
+    throw std::runtime_error("not a numeric address: " + to_string(local));
+  }
+  state_->listener = evconnlistener_new_bind(
+      loop.base(), &state::on_accept, state_.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, SOMAXCONN,
+      reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
+  if (state_->listener == nullptr) {
+    throw std::runtime_error("cannot listen on " + to_string(local));
+  }
+  sockaddr_in bound{};
+  socklen_t bound_length = sizeof(bound);
+  getsockname(evconnlistener_get_fd(state_->listener), reinterpret_cast<sockaddr*>(&bound),
+              &bound_length);
+  state_->port = ntohs(bound.sin_port);
+}
+
+tcp_listener::~tcp_listener() {
+  evconnlistener_free(state_->listener);
+}
+
+std::uint16_t tcp_listener::port() const noexcept {
+  return state_->port;
+}
+
+}  // namespace crocusdoor
--- a/Source/transport/peer_listener.h
+++ b/Source/transport/tcp_listener.h
@@ -8,15 +8,15 @@
 
 namespace crocusdoor {
 
-/// Accepts TCP connections of other daemons.
-class peer_listener {
+/// Accepts TCP connections.
+class tcp_listener {
  public:
   /// Throws std::runtime_error if the endpoint cannot be bound.
-  peer_listener(event_loop& loop, const ip_endpoint& local,
-                std::function<void(std::intptr_t descriptor)> accepted);
-  ~peer_listener();
-  peer_listener(const peer_listener&) = delete;
-  peer_listener& operator=(const peer_listener&) = delete;
+  tcp_listener(event_loop& loop, const ip_endpoint& local,
+               std::function<void(std::intptr_t descriptor)> accepted);
+  ~tcp_listener();
+  tcp_listener(const tcp_listener&) = delete;
+  tcp_listener& operator=(const tcp_listener&) = delete;
 
   /// Port that the listener is bound to.
   [[nodiscard]] std::uint16_t port() const noexcept;
--- a/Tests/loop_client.h
+++ b/Tests/loop_client.h
@@ -11,7 +11,7 @@
 class loop_client {
  public:
   loop_client(event_loop& loop, std::uint16_t port)
-      : loop_(loop), client_(loop, {"127.0.0.1", port}, 8) {}
+      : loop_(loop), client_(loop, {"127.0.0.1", port}, {.connection_limit = 8}) {}
 
   http_result send(const std::string& method, const std::string& target,
                    const http_headers& headers = {}, const std::string& body = "") {
