Serve the users' platform with a sidecar program of its own

Cause: callers of the platform speak to the sidecar of their own machine, targets announce themselves by heartbeat, operators write the configuration into the platform's store; the daemon has no listener for any of them.

Change: Source/mesh decides (route table, weighted rotation, target registry, slot queue, upstream pool, retry window, the table of what an exchange with a target proves); Source/sidecar connects it to the loop, the links between daemons and the HTTP server; platform/ translates names and formats and has the client of the store; deploy/ tells the platform how to run it. Links, request ledger and call router of the daemon are reused; heartbeats may carry the load and need no answer.

--- a/Source/core/record_codec.h
+++ b/Source/core/record_codec.h
@@ -86,6 +86,11 @@
 template <typename Record>
 struct record_fields;
 
+/// Specialised for each type that documents may also write as one text: `parse` returns the value
+/// or nothing, `expected` says what is accepted.
+template <typename T>
+struct text_format;
+
 /// Whether keys that the field table does not name are faults (documents written by people) or are
 /// passed over (messages of a newer peer).
 enum class unknown_keys { refused, ignored };
@@ -97,6 +102,11 @@
   record_fields<T>::table;
 };
 
+template <typename T>
+concept described_text = requires(std::string_view text) {
+  text_format<T>::parse(text);
+};
+
 template <typename T>
 concept described_enum = std::is_enum_v<T> && requires {
   enum_names<T>::names;
@@ -201,6 +211,12 @@
   template <typename T>
   void decode(const json& document, T& value, const std::string& path = "",
               const number_range& range = {}) {
+    if constexpr (detail::described_text<T>) {
+      if (document.is_string()) {
+        decode_text(document, value, path);
+        return;
+      }
+    }
     if constexpr (std::is_same_v<T, json>) {
       value = document;
     } else if constexpr (detail::described_record<T>) {
@@ -291,6 +307,17 @@
     }
   }
 
+  template <typename T>
+  void decode_text(const json& document, T& value, const std::string& path) {
+    const auto parsed = text_format<T>::parse(document.get_ref<const std::string&>());
+    if (parsed.has_value()) {
+      value = *parsed;
+    } else {
+      report(path, "found \"" + document.get<std::string>() + "\"; expected " +
+                       std::string(text_format<T>::expected));
+    }
+  }
+
   template <typename T>
   void decode_enum(const json& document, T& value, const std::string& path) {
     if (!expect(document.is_string(), path, "one of " + accepted_names<T>(), document)) {
--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -10,18 +10,21 @@
 
 }  // namespace
 
-call_router::call_router(const daemon_context& shared, peer_mesh& mesh, local_delivery deliver,
-                         local_cancellation cancel)
-    : shared_(shared),
+call_router::call_router(event_loop& loop, peer_process self, peer_mesh& mesh,
+                         local_delivery deliver, local_cancellation cancel,
+                         std::function<void()> count_unmatched)
+    : loop_(loop),
+      self_(std::move(self)),
       mesh_(mesh),
       deliver_locally_(std::move(deliver)),
-      cancel_locally_(std::move(cancel)) {
+      cancel_locally_(std::move(cancel)),
+      count_unmatched_(std::move(count_unmatched)) {
   message_dispatcher& dispatcher = mesh_.dispatcher();
   dispatcher.on<wire::call_answer>([this](const auto& from, const wire::call_answer& answer) {
     if (const auto outcome = pending_.answer(answer, process_of(from))) {
       finish(*outcome);
     } else {
-      shared_.counters.count_unmatched_answer();
+      count_unmatched_();
     }
   });
   dispatcher.on<wire::call_status_answer>([this](const auto& from, const auto& answer) {
@@ -29,27 +32,27 @@
       finish(*outcome);
     }
   });
-  timer_ = shared_.loop.every(expiry_interval, [this] { expire(); });
+  timer_ = loop_.every(expiry_interval, [this] { expire(); });
 }
 
 peer_process call_router::process_of(const instance_name& name) const {
-  const bool local = name == shared_.options.instance.name;
-  return {name, local ? shared_.incarnation : mesh_.incarnation_of(name)};
+  const bool local = name == self_.name;
+  return {name, local ? self_.incarnation : mesh_.incarnation_of(name)};
 }
 
 wire::request_id call_router::send(const instance_name& to, wire::call request, time_point deadline,
                                    callback done) {
   const wire::request_id id = next_id_++;
   request.id = id;
-  request.sender_incarnation = shared_.incarnation;
+  request.sender_incarnation = self_.incarnation;
   waiting_call& one = calls_[id];
   one.to = to;
   one.done = std::move(done);
   one.deadline = deadline;
   one.idempotent = request.idempotent;
-  if (to == shared_.options.instance.name) {
+  if (to == self_.name) {
     pending_.add(id, process_of(to), deadline, true);
-    shared_.loop.post([this, request = std::move(request)] { deliver_locally_(request); });
+    loop_.post([this, request = std::move(request)] { deliver_locally_(request); });
     return id;
   }
   one.unsent = std::move(request);
@@ -70,7 +73,7 @@
   }
   const call_outcome outcome{id, process_of(one.to), verdict::not_run, std::nullopt,
                              link_unavailable_reason};
-  shared_.loop.post([this, outcome] { finish(outcome); });
+  loop_.post([this, outcome] { finish(outcome); });
 }
 
 void call_router::cancel(wire::request_id id) {
@@ -80,7 +83,7 @@
   }
   if (found->second.unsent.has_value()) {
     finish({id, process_of(found->second.to), verdict::not_run, std::nullopt, "cancelled"});
-  } else if (found->second.to == shared_.options.instance.name) {
+  } else if (found->second.to == self_.name) {
     cancel_locally_(id);
   } else {
     mesh_.send(found->second.to, wire::call_cancel{id});
@@ -88,7 +91,7 @@
 }
 
 void call_router::local_answer(const wire::call_answer& answer) {
-  if (const auto outcome = pending_.answer(answer, process_of(shared_.options.instance.name))) {
+  if (const auto outcome = pending_.answer(answer, process_of(self_.name))) {
     finish(*outcome);
   }
 }
@@ -107,7 +110,7 @@
   const auto queries = to_query_.find(peer);
   if (queries != to_query_.end()) {
     for (const wire::request_id id : queries->second) {
-      mesh_.send(peer, wire::call_status{id, shared_.incarnation});
+      mesh_.send(peer, wire::call_status{id, self_.incarnation});
     }
     to_query_.erase(queries);
   }
@@ -140,6 +143,11 @@
   }
 }
 
+void call_router::session_replaced(const instance_name& peer) {
+  peer_lost(peer);
+  peer_established(peer);
+}
+
 void call_router::dial_failed(const instance_name& peer) {
   std::vector<wire::request_id> unsent;
   for (const auto& [id, one] : calls_) {
@@ -153,7 +161,7 @@
 }
 
 void call_router::expire() {
-  const time_point now = shared_.loop.now();
+  const time_point now = loop_.now();
   for (const call_outcome& outcome : pending_.expire(now)) {
     finish(outcome);
   }
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "daemon/daemon_context.h"
 #include "daemon/peer_mesh.h"
 #include "link/pending_calls.h"
+#include "transport/event_loop.h"
 #include "wire/message.h"
 
 namespace crocusdoor {
@@ -27,8 +27,9 @@
   using local_delivery = std::function<void(const wire::call&)>;
   using local_cancellation = std::function<void(wire::request_id)>;
 
-  call_router(const daemon_context& shared, peer_mesh& mesh, local_delivery deliver,
-              local_cancellation cancel);
+  /// `count_unmatched` is called for each answer that no call waits for.
+  call_router(event_loop& loop, peer_process self, peer_mesh& mesh, local_delivery deliver,
+              local_cancellation cancel, std::function<void()> count_unmatched);
 
   /// Sends a call; its id and sender are filled in. `done` is called exactly once, in a later turn
   /// of the loop and at the latest after `deadline`.
@@ -43,6 +44,8 @@
 
   void peer_established(const instance_name& peer);
   void peer_lost(const instance_name& peer);
+  /// One of several sessions to a peer has ended; what it carried may be lost.
+  void session_replaced(const instance_name& peer);
   void dial_failed(const instance_name& peer);
 
   /// Calls without an answer.
@@ -63,10 +66,12 @@
   void expire();
   peer_process process_of(const instance_name& name) const;
 
-  const daemon_context& shared_;
+  event_loop& loop_;
+  peer_process self_;
   peer_mesh& mesh_;
   local_delivery deliver_locally_;
   local_cancellation cancel_locally_;
+  std::function<void()> count_unmatched_;
   pending_calls pending_;
   std::map<wire::request_id, waiting_call> calls_;
   std::map<instance_name, std::vector<wire::request_id>> to_query_;
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -61,13 +61,14 @@
   run_once_ = std::make_unique<run_once_service>(shared_, *mesh_, platform_);
   target_ = std::make_unique<target_gateway>(shared_, suspicions_, target_handlers());
   router_ = std::make_unique<call_router>(
-      shared_, *mesh_,
+      loop_, peer_process{options_.instance.name, shared_.incarnation}, *mesh_,
       [this](const wire::call& request) {
         target_->receive(options_.instance.name, distributor_->current()->version, request);
       },
       [this](wire::request_id id) {
         target_->cancel(options_.instance.name, shared_.incarnation, id);
-      });
+      },
+      [this] { counters_.count_unmatched_answer(); });
   caller_services_ = std::make_unique<caller_services>(caller_services{
       shared_, *router_, *run_once_, selector_, hedges_,
       [this](const service_name& name) -> retry_budget& {
@@ -130,6 +131,9 @@
     membership_->peer_lost(peer);
     router_->peer_lost(peer);
   };
+  callbacks.session_replaced = [this](const instance_name& peer) {
+    router_->session_replaced(peer);
+  };
   callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
   callbacks.version_seen = [this](const instance_name& peer, version_number version) {
     distributor_->version_seen(peer, version);
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -25,7 +25,7 @@
       [this](wire::message content) {
         return wire::envelope{callbacks_.configuration_version(), std::move(content)};
       },
-      callbacks_.configuration_digest,
+      callbacks_.configuration_digest, callbacks_.load, settings_.answer_heartbeats,
       [this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
       },
@@ -114,6 +114,11 @@
   return best_session(peer) != nullptr;
 }
 
+std::optional<duration> peer_mesh::silence_of(const instance_name& peer) const {
+  const auto session = best_session(peer);
+  return session == nullptr ? std::nullopt : std::optional(session->silence());
+}
+
 std::uint64_t peer_mesh::incarnation_of(const instance_name& peer) const {
   const auto found = incarnations_.find(peer);
   return found == incarnations_.end() ? 0 : found->second;
@@ -168,11 +173,13 @@
   if (found == sessions_.end()) {
     return;
   }
-  std::erase(found->second, session);
+  const bool was_listed = std::erase(found->second, session) > 0;
   if (found->second.empty()) {
     sessions_.erase(found);
     LOG_EVENT(INFO, "peer_lost") << field("peer", peer) << field("reason", reason);
     callbacks_.peer_lost(peer, reason);
+  } else if (was_listed && callbacks_.session_replaced) {
+    callbacks_.session_replaced(peer);
   }
 }
 
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -28,6 +28,7 @@
     duration heartbeat_timeout{};
     duration first_retry_delay{};
     duration longest_retry_delay{};
+    bool answer_heartbeats = true;
   };
 
   struct handlers {
@@ -41,6 +42,10 @@
     std::function<void(const instance_name&, const std::string& reason)> peer_lost;
     /// An attempt to open a link to an instance has failed.
     std::function<void(const instance_name&)> dial_failed;
+    /// A session to a peer has ended while another one goes on.
+    std::function<void(const instance_name&)> session_replaced = nullptr;
+    /// Load that heartbeats report.
+    std::function<std::optional<load_report>()> load = nullptr;
     /// Called for each message before it is dispatched.
     std::function<void(const instance_name&, version_number)> version_seen;
   };
@@ -63,6 +68,8 @@
   void announce_version();
 
   [[nodiscard]] bool linked(const instance_name& peer) const;
+  /// Time since anything arrived from a linked peer; nothing if it is not linked.
+  [[nodiscard]] std::optional<duration> silence_of(const instance_name& peer) const;
   /// Incarnation of the process at the other end, as of its latest `hello`; 0 if there was none.
   [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const;
   [[nodiscard]] std::vector<instance_name> linked_peers() const;
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -45,7 +45,8 @@
 }
 
 void peer_session::announce_version() {
-  send(wire::heartbeat{++heartbeat_sequence_, shared_->configuration_digest()});
+  send(wire::heartbeat{++heartbeat_sequence_, shared_->configuration_digest(),
+                       shared_->load ? shared_->load() : std::nullopt});
 }
 
 void peer_session::link_opened() {
@@ -88,7 +89,8 @@
     close("message before hello");
     return;
   }
-  if (const auto* beat = std::get_if<wire::heartbeat>(&value.content)) {
+  const auto* beat = std::get_if<wire::heartbeat>(&value.content);
+  if (beat != nullptr && shared_->answer_heartbeats) {
     send(wire::heartbeat_answer{beat->sequence, shared_->configuration_digest()});
   }
   shared_->received(shared_from_this(), value);
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -23,6 +23,10 @@
     std::function<wire::hello(const instance_name& peer)> make_hello;
     std::function<wire::envelope(wire::message)> wrap;
     std::function<digest()> configuration_digest;
+    /// Load that heartbeats report; empty if the daemon has none to report.
+    std::function<std::optional<load_report>()> load;
+    /// Whether a heartbeat is answered. If not, each end only listens for the other's.
+    bool answer_heartbeats;
     std::function<void(const std::shared_ptr<peer_session>&, const wire::hello&)> established;
     std::function<void(const std::shared_ptr<peer_session>&, const wire::envelope&)> received;
     std::function<void(const std::shared_ptr<peer_session>&, const std::string& reason)> ended;
--- a/Source/membership/instance_record.h
+++ b/Source/membership/instance_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -40,11 +41,12 @@
   instance_state state = instance_state::starting;
   failure_domain domain;
   region_name region;
-  service_name service;         ///< Service of the instance's target.
-  std::string address;          ///< IP number.
-  std::uint16_t peer_port = 0;  ///< Port for links between daemons.
-  std::uint16_t api_port = 0;   ///< Port of the intent API.
-  std::int32_t slots = 1;       ///< Requests the target runs at the same time.
+  service_name service;                         ///< Service of the instance's target.
+  std::string address;                          ///< IP number.
+  std::uint16_t peer_port = 0;                  ///< Port for links between daemons.
+  std::uint16_t api_port = 0;                   ///< Port of the intent API.
+  std::int32_t slots = 1;                       ///< Requests the target runs at the same time.
+  std::chrono::milliseconds warmup_left_ms{0};  ///< Until the target has warmed up.
   friend bool operator==(const instance_record&, const instance_record&) = default;
 };
 
@@ -61,7 +63,8 @@
                       required_field("address", &instance_record::address),
                       required_field("peer_port", &instance_record::peer_port),
                       required_field("api_port", &instance_record::api_port),
-                      required_field("slots", &instance_record::slots, {1, 10'000}));
+                      required_field("slots", &instance_record::slots, {1, 10'000}),
+                      optional_field("warmup_left_ms", &instance_record::warmup_left_ms));
 };
 
 }  // namespace crocusdoor
--- /dev/null
+++ b/Source/mesh/route_table.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "mesh/mesh_configuration.h"
+
+namespace crocusdoor {
+
+/// Index of one version of the configuration. It never changes; a new version gets a new table.
+class route_table {
+ public:
+  explicit route_table(mesh_configuration content);
+
+  [[nodiscard]] std::uint64_t version() const noexcept { return content_.version; }
+  [[nodiscard]] const mesh_configuration& content() const noexcept { return content_; }
+
+  /// The route of a host with the longest prefix that begins the path of the target; null if there
+  /// is none. The port of the host and the query of the target play no part.
+  [[nodiscard]] const mesh_route* find(std::string_view host, std::string_view target) const;
+  [[nodiscard]] const mesh_service* service(const service_name& name) const;
+
+ private:
+  using prefix_map = std::map<std::string, const mesh_route*, std::less<>>;
+
+  mesh_configuration content_;
+  std::map<std::string, prefix_map, std::less<>> by_host_;
+  std::map<service_name, const mesh_service*> services_;
+};
+
+using route_table_pointer = std::shared_ptr<const route_table>;
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/mesh/upstream_pool.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/random_source.h"
+#include "core/strong_string.h"
+#include "core/time.h"
+#include "routing/load_report.h"
+
+namespace crocusdoor {
+
+/// An upstream as its own daemon announces it.
+struct mesh_upstream {
+  instance_name instance;
+  service_name service;
+  failure_domain domain;
+  std::int32_t slots = 1;
+  bool takes_requests = false;
+  time_point warm_at{};  ///< When it has warmed up after its start.
+};
+
+/// How an attempt at an upstream ended, as far as placing is concerned.
+enum class attempt_quality {
+  good,
+  refused,  ///< Its daemon had no room.
+  failed,   ///< It answered with a failure, broke off or did not answer.
+};
+
+/// One daemon's view of the upstreams of all services, and the choice between them.
+///
+/// Load that it answers: upstreams of one service that differ in speed, turn slow or fail a part of
+/// their requests for seconds, and zones with fewer upstreams than callers. It sends where the
+/// answer is expected first, with a charge for crossing zones and for recent failures.
+class upstream_pool {
+ public:
+  explicit upstream_pool(failure_domain own_domain) : own_domain_(std::move(own_domain)) {}
+
+  void set_upstream(const mesh_upstream& one);
+  void remove(const instance_name& instance);
+  /// The link to an upstream's daemon has been silent for too long, or is heard again.
+  void set_silent(const instance_name& instance, bool silent);
+
+  /// Where to send a request, or nothing if no upstream outside `tried` takes requests.
+  [[nodiscard]] std::optional<instance_name> choose(const service_name& service,
+                                                    const std::vector<instance_name>& tried,
+                                                    time_point now, random_source& random);
+
+  void attempt_started(const instance_name& instance);
+  void attempt_ended(const instance_name& instance, attempt_quality quality, time_point now);
+  void load_reported(const instance_name& instance, const load_report& load, time_point now);
+
+  /// Upstreams of a service that take requests.
+  [[nodiscard]] std::size_t available(const service_name& service) const;
+
+ private:
+  struct state {
+    mesh_upstream upstream;
+    load_report load;
+    time_point reported_at{};
+    std::int32_t outstanding = 0;        ///< Own attempts without an answer.
+    std::int32_t sent_since_report = 0;  ///< Own attempts that the load does not include.
+    double failure_share = 0;            ///< Of recent attempts.
+    bool silent = false;
+  };
+
+  [[nodiscard]] double expected_ms(const state& one, time_point now) const;
+
+  failure_domain own_domain_;
+  std::map<instance_name, state> upstreams_;
+};
+
+}  // namespace crocusdoor
--- a/Source/routing/load_report.h
+++ b/Source/routing/load_report.h
@@ -8,9 +8,10 @@
 
 /// Load of one target as its own daemon counts it; carried by every answer.
 struct load_report {
-  std::int32_t slots = 0;         ///< Requests the target runs at the same time.
-  std::int32_t slots_in_use = 0;  ///< Requests running now.
-  std::int32_t queued = 0;        ///< Requests waiting for a slot.
+  std::int32_t slots = 0;            ///< Requests the target runs at the same time.
+  std::int32_t slots_in_use = 0;     ///< Requests running now.
+  std::int32_t queued = 0;           ///< Requests waiting for a slot.
+  std::int64_t service_time_us = 0;  ///< Mean time of a request in a slot; 0 if not known.
   friend bool operator==(const load_report&, const load_report&) = default;
 };
 
@@ -19,7 +20,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("slots", &load_report::slots, {0, 10'000}),
                       required_field("slots_in_use", &load_report::slots_in_use, {0, 10'000}),
-                      required_field("queued", &load_report::queued, {0, 1'000'000}));
+                      required_field("queued", &load_report::queued, {0, 1'000'000}),
+                      optional_field("service_time_us", &load_report::service_time_us));
 };
 
 }  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/decision_log.cpp
@@ -0,0 +1,67 @@
+#include "sidecar/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <utility>
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration budget_period = std::chrono::seconds(1);
+
+}  // namespace
+
+decision_log::decision_log(event_loop& loop, std::string instance,
+                           const sidecar_log_settings& settings, int descriptor)
+    : loop_(loop), instance_(std::move(instance)), settings_(settings), descriptor_(descriptor) {
+  const int flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) {
+    fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+bool decision_log::within_budget(log_level level) {
+  const time_point now = loop_.now();
+  if (now - second_began_ >= budget_period) {
+    second_began_ = now;
+    routine_lines_ = 0;
+    urgent_lines_ = 0;
+  }
+  std::int32_t& lines = level == log_level::info ? routine_lines_ : urgent_lines_;
+  return lines++ < settings_.lines_per_s;
+}
+
+void decision_log::write(log_level level, const char* event,
+                         std::initializer_list<log_item> items) {
+  if (level < settings_.minimum_level) {
+    return;
+  }
+  if (!within_budget(level)) {
+    ++dropped_;
+    return;
+  }
+  nlohmann::ordered_json line;
+  line["at_ms"] = event_loop::wall_now().time_since_epoch().count();
+  line["level"] = std::string(to_string(level));
+  line["event"] = event;
+  line["instance"] = instance_;
+  for (const log_item& item : items) {
+    line[item.key] = item.value;
+  }
+  if (dropped_ > dropped_reported_) {
+    line["lines_dropped"] = dropped_ - dropped_reported_;
+  }
+  const std::string text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+  const ssize_t written = ::write(descriptor_, text.data(), text.size());
+  if (written == static_cast<ssize_t>(text.size())) {
+    dropped_reported_ = dropped_;
+  } else {
+    ++dropped_;
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/outbound_services.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "daemon/call_router.h"
+#include "mesh/retry_window.h"
+#include "mesh/route_table.h"
+#include "mesh/upstream_pool.h"
+#include "mesh/weighted_rotation.h"
+#include "sidecar/sidecar_context.h"
+
+namespace crocusdoor {
+
+/// What the requests of callers share.
+struct outbound_services {
+  const sidecar_context& shared;
+  call_router& router;
+  upstream_pool& upstreams;
+  weighted_rotation& rotation;
+  std::map<service_name, retry_window>& retries;
+  std::function<route_table_pointer()> configuration;
+  /// Daemons that share the retry budget.
+  std::function<std::size_t()> daemon_count;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/peer_finder.cpp
@@ -0,0 +1,87 @@
+#include "sidecar/peer_finder.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration retry_delay = std::chrono::milliseconds(250);
+constexpr duration retry_jitter = std::chrono::milliseconds(750);
+/// Entries are read again this often, in case a link could not be opened when they were first seen.
+constexpr duration relist_interval = std::chrono::seconds(30);
+
+}  // namespace
+
+peer_finder::peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh)
+    : shared_(shared), store_(store), mesh_(mesh) {}
+
+void peer_finder::start() {
+  announce();
+}
+
+void peer_finder::announce() {
+  const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers)};
+  store_.announce_daemon(entry, [this](store_outcome outcome) {
+    if (outcome == store_outcome::done) {
+      list();
+    } else {
+      retry(&peer_finder::announce);
+    }
+  });
+}
+
+void peer_finder::withdraw() {
+  store_.withdraw_daemon(shared_.self.name, [this](store_outcome outcome) {
+    shared_.log.info("entry_withdrawn", {{"outcome", std::string(to_string(outcome))}});
+  });
+}
+
+void peer_finder::list() {
+  store_.list_daemons([this](const daemon_listing& listing) { listing_ended(listing); });
+}
+
+void peer_finder::listing_ended(const daemon_listing& listing) {
+  if (listing.outcome != store_outcome::done) {
+    retry(&peer_finder::list);
+    return;
+  }
+  for (const daemon_entry& entry : listing.daemons) {
+    const auto endpoint = text_format<ip_endpoint>::parse(entry.endpoint);
+    if (!endpoint.has_value()) {
+      shared_.log.warning("entry_unreadable",
+                          {{"peer", entry.name.str()}, {"endpoint", entry.endpoint}});
+    } else if (entry.name != shared_.self.name) {
+      known_[entry.name] = *endpoint;
+    }
+  }
+  if (!listed_) {
+    shared_.log.info("daemons_listed", {{"daemons", known_.size()}});
+  }
+  listed_ = true;
+  keep_links();
+  next_call_ = shared_.loop.after(relist_interval, [this] { list(); });
+}
+
+void peer_finder::retry(void (peer_finder::*call)()) {
+  const duration delay = retry_delay + shared_.random.up_to(retry_jitter);
+  next_call_ = shared_.loop.after(delay, [this, call] { (this->*call)(); });
+}
+
+void peer_finder::introduce(const instance_name& name, const ip_endpoint& endpoint) {
+  known_[name] = endpoint;
+  keep_links();
+}
+
+void peer_finder::keep_links() {
+  std::set<instance_name> peers;
+  for (const auto& [name, endpoint] : known_) {
+    peers.insert(name);
+  }
+  mesh_.set_permanent_peers(std::move(peers));
+}
+
+std::optional<ip_endpoint> peer_finder::find(const instance_name& name) const {
+  const auto found = known_.find(name);
+  return found == known_.end() ? std::nullopt : std::optional(found->second);
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -0,0 +1,310 @@
+#include "sidecar/sidecar_daemon.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include "core/rendezvous_hash.h"
+#include "sidecar/outbound_request.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+
+constexpr duration first_redial_delay = std::chrono::milliseconds(50);
+constexpr duration longest_redial_delay = std::chrono::milliseconds(1'000);
+
+constexpr duration stop_check_interval = std::chrono::milliseconds(50);
+/// Readiness is asked once a second and callers stay until two answers have failed.
+constexpr duration unready_notice_time = std::chrono::milliseconds(2'300);
+/// Answers end their connections for this long before idle connections are closed.
+constexpr duration close_notice_time = std::chrono::milliseconds(700);
+/// Left of the time to stop for the last answers to leave.
+constexpr duration stop_reserve = std::chrono::milliseconds(400);
+constexpr duration flush_time = std::chrono::milliseconds(100);
+
+std::uint64_t start_incarnation() {
+  return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
+}
+
+}  // namespace
+
+sidecar_daemon::sidecar_daemon(event_loop& loop, sidecar_settings options,
+                               platform_contract contract, std::unique_ptr<mesh_store> store)
+    : loop_(loop),
+      options_(std::move(options)),
+      contract_(std::move(contract)),
+      retry_limit_{options_.bounds.retry_ratio, options_.bounds.retry_slack,
+                   options_.bounds.retry_window_s},
+      store_(std::move(store)),
+      random_(stable_hash(options_.instance.name.str(), start_incarnation())),
+      log_(loop_, options_.instance.name.str(), options_.log, STDOUT_FILENO),
+      shared_{loop_,        random_, options_,  contract_,
+              retry_limit_, log_,    counters_, {options_.instance.name, start_incarnation()}},
+      upstreams_(options_.instance.domain) {
+  mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
+  finder_ = std::make_unique<peer_finder>(shared_, *store_, *mesh_);
+  follower_ = std::make_unique<configuration_follower>(
+      shared_, *store_,
+      configuration_follower::handlers{
+          [this](const route_table_pointer& table) { configuration_adopted(table); },
+          [this] { return finder_->daemon_count(); },
+          [this](const instance_name& peer) { mesh_->send(peer, wire::document_request{}); }});
+  gateway_ = std::make_unique<inbound_gateway>(
+      shared_, inbound_gateway::handlers{
+                   [this](const instance_name& to, const wire::call_answer& answer) {
+                     if (to == shared_.self.name) {
+                       router_->local_answer(answer);
+                     } else {
+                       mesh_->send(to, answer);
+                     }
+                   },
+                   [this] { status_changed(); }, [this] { return follower_->current(); }});
+  router_ = std::make_unique<call_router>(
+      loop_, shared_.self, *mesh_,
+      [this](const wire::call& request) { gateway_->receive(shared_.self.name, request); },
+      [this](wire::request_id id) {
+        gateway_->cancel(shared_.self.name, shared_.self.incarnation, id);
+      },
+      [this] { counters_.count_unmatched_answer(); });
+  services_ = std::make_unique<outbound_services>(outbound_services{
+      shared_, *router_, upstreams_, rotation_, retries_, [this] { return follower_->current(); },
+      [this] { return finder_->daemon_count(); }});
+  connect_dispatcher();
+  callers_ = std::make_unique<http_server>(
+      loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
+        std::make_shared<outbound_request>(*services_, exchange)->start();
+      });
+  readiness_ = std::make_unique<http_server>(
+      loop_, options_.listen.readiness,
+      [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
+  metrics_server_ = std::make_unique<http_server>(
+      loop_, options_.listen.metrics,
+      [this](const std::shared_ptr<http_exchange>& exchange) { answer_metrics(*exchange); });
+  registration_ = std::make_unique<registration_server>(shared_, *gateway_);
+}
+
+sidecar_daemon::~sidecar_daemon() = default;
+
+peer_mesh::configuration sidecar_daemon::mesh_settings() const {
+  return {options_.instance.name,
+          options_.listen.peers,
+          options_.links.heartbeat_interval_ms,
+          options_.links.silence_limit_ms,
+          first_redial_delay,
+          longest_redial_delay,
+          false};
+}
+
+instance_record sidecar_daemon::self_record() const {
+  instance_record self;
+  self.name = shared_.self.name;
+  self.incarnation = shared_.self.incarnation;
+  self.sequence = record_sequence_;
+  self.domain = options_.instance.domain;
+  self.region = options_.instance.region;
+  self.service = options_.target.service;
+  self.address = options_.listen.peers.address;
+  self.peer_port = options_.listen.peers.port;
+  self.api_port = options_.listen.metrics.port;
+  self.state = gateway_->takes_requests() ? instance_state::ready : instance_state::starting;
+  if (stopping_) {
+    self.state = instance_state::draining;
+  }
+  if (const auto& target = gateway_->registry().target()) {
+    self.service = target->announcement.service;
+    self.slots = target->announcement.slots;
+    const duration warmup = target->warm_at - loop_.now();
+    self.warmup_left_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::max(warmup, duration::zero()));
+  }
+  return self;
+}
+
+peer_mesh::handlers sidecar_daemon::mesh_handlers() {
+  peer_mesh::handlers callbacks;
+  callbacks.make_hello = [this](const instance_name&) {
+    return wire::hello{self_record(), digest(), 0};
+  };
+  callbacks.configuration_version = [this] { return follower_->version(); };
+  callbacks.configuration_digest = [] { return digest(); };
+  callbacks.load = [this] { return std::optional(gateway_->load()); };
+  callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
+  callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
+    peer_introduced(peer, greeting.self);
+    router_->peer_established(peer);
+  };
+  callbacks.peer_lost = [this](const instance_name& peer, const std::string& reason) {
+    peer_lost(peer, reason);
+  };
+  callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
+  callbacks.session_replaced = [this](const instance_name& peer) {
+    router_->session_replaced(peer);
+  };
+  callbacks.version_seen = [this](const instance_name& peer, version_number version) {
+    follower_->version_seen(peer, version);
+  };
+  return callbacks;
+}
+
+void sidecar_daemon::connect_dispatcher() {
+  message_dispatcher& dispatcher = mesh_->dispatcher();
+  dispatcher.on<wire::call>([this](const instance_name& from, const wire::call& request) {
+    gateway_->receive(from, request);
+  });
+  dispatcher.on<wire::call_cancel>([this](const instance_name& from, const auto& content) {
+    gateway_->cancel(from, mesh_->incarnation_of(from), content.id);
+  });
+  dispatcher.on<wire::call_status>([this](const instance_name& from, const auto& query) {
+    mesh_->send(from, gateway_->status(from, query));
+  });
+  dispatcher.on<wire::records>([this](const instance_name& from, const wire::records& content) {
+    for (const instance_record& record : content.changed) {
+      record_received(from, record);
+    }
+  });
+  dispatcher.on<wire::heartbeat>([this](const instance_name& from, const auto& beat) {
+    if (beat.load.has_value()) {
+      upstreams_.load_reported(from, *beat.load, loop_.now());
+    }
+  });
+  dispatcher.on<wire::document_request>([this](const instance_name& from, const auto&) {
+    if (follower_->current() != nullptr) {
+      mesh_->send(from, wire::configuration_document{follower_->version(), follower_->document()});
+    }
+  });
+  dispatcher.on<wire::configuration_document>([this](const instance_name& from, const auto& held) {
+    follower_->document_received(from, held.text);
+  });
+}
+
+void sidecar_daemon::start() {
+  log_.info("started", {{"incarnation", shared_.self.incarnation},
+                        {"service", options_.target.service.str()},
+                        {"domain", options_.instance.domain.str()},
+                        {"callers", to_string(options_.listen.callers)},
+                        {"peers", to_string(options_.listen.peers)}});
+  follower_->start();
+  finder_->start();
+}
+
+void sidecar_daemon::reload(const sidecar_settings& options) {
+  options_.log = options.log;
+  log_.configure(options.log);
+  log_.info("settings_reloaded", {{"lines_per_s", options.log.lines_per_s}});
+}
+
+void sidecar_daemon::peer_introduced(const instance_name& peer, const instance_record& record) {
+  finder_->introduce(peer, {record.address, record.peer_port});
+  log_.info("peer_linked", {{"peer", peer.str()},
+                            {"incarnation", record.incarnation},
+                            {"state", std::string(to_string(record.state))}});
+  counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
+  record_received(peer, record);
+}
+
+void sidecar_daemon::record_received(const instance_name& peer, const instance_record& record) {
+  // Two sessions with one peer may deliver its records in the wrong order.
+  const std::pair order(record.incarnation, record.sequence);
+  auto& known = record_order_[peer];
+  if (record.name != peer || order < known) {
+    return;
+  }
+  known = order;
+  upstreams_.set_upstream({peer, record.service, record.domain, record.slots,
+                           record.state == instance_state::ready,
+                           loop_.now() + record.warmup_left_ms});
+}
+
+void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
+  log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
+  counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
+  upstreams_.remove(peer);
+  router_->peer_lost(peer);
+}
+
+void sidecar_daemon::status_changed() {
+  ++record_sequence_;
+  const instance_record self = self_record();
+  upstreams_.set_upstream({self.name, self.service, self.domain, self.slots,
+                           self.state == instance_state::ready, loop_.now() + self.warmup_left_ms});
+  mesh_->send_to_all(wire::records{{self}});
+}
+
+void sidecar_daemon::configuration_adopted(const route_table_pointer& table) {
+  const caller_limits& limits = table->content().limits;
+  http_server_limits accepted;
+  accepted.size.header_bytes = limits.header_bytes;
+  accepted.size.body_bytes = std::min(limits.body_bytes, http_body_limit_bytes);
+  accepted.header_timeout = limits.header_timeout_ms;
+  accepted.idle_timeout = limits.idle_timeout_ms;
+  callers_->set_limits(accepted);
+  gateway_->look_for_target();
+}
+
+bool sidecar_daemon::ready() const {
+  return !stopping_ && follower_->current() != nullptr &&
+         (finder_->listed() || !mesh_->linked_peers().empty());
+}
+
+void sidecar_daemon::answer_readiness(http_exchange& exchange) {
+  if (exchange.request().target != contract_.readiness_path) {
+    exchange.respond({status_not_found, {}, ""});
+    return;
+  }
+  exchange.respond({ready() ? status_ok : status_unavailable, {}, ""});
+}
+
+void sidecar_daemon::answer_metrics(http_exchange& exchange) {
+  const load_report load = gateway_->load();
+  counters_.slots_in_use().Set(load.slots_in_use);
+  counters_.queue_length().Set(load.queued);
+  counters_.live_instances().Set(static_cast<double>(mesh_->linked_peers().size() + 1));
+  counters_.total("crocusdoor_log_lines_dropped", "Log lines beyond the budget")
+      .Set(static_cast<double>(log_.dropped()));
+  counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
+      .Set(static_cast<double>(gateway_->connections_opened()));
+  exchange.respond(
+      {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.render()});
+}
+
+void sidecar_daemon::begin_stop() {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = loop_.now();
+  log_.info("stop_began", {{"callers", callers_->active()}, {"running", gateway_->active()}});
+  status_changed();
+  if (!gateway_->takes_requests()) {
+    finder_->withdraw();
+  }
+  stop_timer_ = loop_.every(stop_check_interval, [this] { continue_stop(); });
+}
+
+void sidecar_daemon::continue_stop() {
+  const duration since = loop_.now() - stop_began_;
+  if (since < unready_notice_time) {
+    return;
+  }
+  callers_->announce_close();
+  if (since < unready_notice_time + close_notice_time) {
+    return;
+  }
+  callers_->close_idle();
+  const bool idle = callers_->active() == 0 && gateway_->active() == 0;
+  if (idle || since >= options_.bounds.stop_s - stop_reserve) {
+    finish_stop();
+  }
+}
+
+void sidecar_daemon::finish_stop() {
+  log_.info("stopped", {{"callers", callers_->active()}, {"running", gateway_->active()}});
+  stop_timer_ = loop_.after(flush_time, [this] { loop_.stop(); });
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/sidecar_daemon.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "daemon/peer_mesh.h"
+#include "sidecar/configuration_follower.h"
+#include "sidecar/inbound_gateway.h"
+#include "sidecar/outbound_services.h"
+#include "sidecar/peer_finder.h"
+#include "sidecar/registration_server.h"
+#include "sidecar/sidecar_context.h"
+#include "transport/http_server.h"
+
+namespace crocusdoor {
+
+/// All parts of one sidecar, connected with each other.
+class sidecar_daemon {
+ public:
+  /// Throws std::runtime_error if an address cannot be bound.
+  sidecar_daemon(event_loop& loop, sidecar_settings options, platform_contract contract,
+                 std::unique_ptr<mesh_store> store);
+  ~sidecar_daemon();
+  sidecar_daemon(const sidecar_daemon&) = delete;
+  sidecar_daemon& operator=(const sidecar_daemon&) = delete;
+
+  void start();
+  /// Takes over settings that can change while the process runs.
+  void reload(const sidecar_settings& options);
+  /// Says that it is not ready, serves on until callers have noticed, finishes what was read and
+  /// stops the loop.
+  void begin_stop();
+
+  [[nodiscard]] decision_log& log() noexcept { return log_; }
+
+ private:
+  [[nodiscard]] instance_record self_record() const;
+  peer_mesh::configuration mesh_settings() const;
+  peer_mesh::handlers mesh_handlers();
+  void connect_dispatcher();
+  void peer_introduced(const instance_name& peer, const instance_record& record);
+  void record_received(const instance_name& peer, const instance_record& record);
+  void peer_lost(const instance_name& peer, const std::string& reason);
+  void status_changed();
+  void configuration_adopted(const route_table_pointer& table);
+  [[nodiscard]] bool ready() const;
+  void answer_readiness(http_exchange& exchange);
+  void answer_metrics(http_exchange& exchange);
+  void continue_stop();
+  void finish_stop();
+
+  event_loop& loop_;
+  sidecar_settings options_;
+  platform_contract contract_;
+  retry_limit retry_limit_;
+  std::unique_ptr<mesh_store> store_;
+  random_source random_;
+  metrics counters_;
+  decision_log log_;
+  sidecar_context shared_;
+  upstream_pool upstreams_;
+  weighted_rotation rotation_;
+  std::map<service_name, retry_window> retries_;
+  std::unique_ptr<peer_mesh> mesh_;
+  std::unique_ptr<peer_finder> finder_;
+  std::unique_ptr<configuration_follower> follower_;
+  std::unique_ptr<inbound_gateway> gateway_;
+  std::unique_ptr<call_router> router_;
+  std::unique_ptr<outbound_services> services_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<http_server> metrics_server_;
+  std::unique_ptr<registration_server> registration_;
+  std::map<instance_name, std::pair<std::uint64_t, std::uint64_t>> record_order_;
+  std::uint64_t record_sequence_ = 1;
+  bool stopping_ = false;
+  time_point stop_began_{};
+  timer_handle stop_timer_;
+};
+
+}  // namespace crocusdoor
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -41,6 +41,7 @@
 struct heartbeat {
   std::uint64_t sequence = 0;
   digest configuration_digest;
+  std::optional<load_report> load;  ///< Of the sender's target, if it reports one.
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
@@ -93,6 +94,11 @@
   std::string traceparent;
   std::int32_t attempt = 1;
   std::int32_t retries_left = 0;  ///< Retries that the whole path may still spend.
+  std::int32_t rank = 0;          ///< Urgency of the route; 0 is the most urgent.
+  bool nested = false;            ///< Whether a running request waits for this one.
+  std::string work_class;         ///< Requests that take similar time.
+  /// Until when the answer is worth most; negative if that has passed.
+  std::chrono::milliseconds objective_left_ms{0};
   friend bool operator==(const call&, const call&) = default;
 };
 
@@ -105,6 +111,7 @@
   std::string reason;  ///< Why the request did not run or its outcome is unknown.
   std::chrono::milliseconds retry_after_ms{0};  ///< When a refused request is worth repeating.
   load_report load;
+  bool reached_target = true;  ///< Whether the target may have received the request.
   friend bool operator==(const call_answer&, const call_answer&) = default;
 };
 
@@ -171,16 +178,28 @@
   friend bool operator==(const claim_complete_answer&, const claim_complete_answer&) = default;
 };
 
+/// Asks a peer for its configuration as the operators wrote it.
+struct document_request {
+  friend bool operator==(const document_request&, const document_request&) = default;
+};
+
+/// A configuration as the operators wrote it.
+struct configuration_document {
+  version_number version = 0;
+  std::string text;
+  friend bool operator==(const configuration_document&, const configuration_document&) = default;
+};
+
 struct suspicions {
   std::vector<crash_report> reports;
   friend bool operator==(const suspicions&, const suspicions&) = default;
 };
 
-using message =
-    std::variant<hello, heartbeat, heartbeat_answer, records, records_request,
-                 configuration_request, configuration_delta, configuration_snapshot, call,
-                 call_answer, call_cancel, call_status, call_status_answer, claim_request,
-                 claim_answer, claim_complete, claim_complete_answer, suspicions>;
+using message = std::variant<hello, heartbeat, heartbeat_answer, records, records_request,
+                             configuration_request, configuration_delta, configuration_snapshot,
+                             call, call_answer, call_cancel, call_status, call_status_answer,
+                             claim_request, claim_answer, claim_complete, claim_complete_answer,
+                             suspicions, document_request, configuration_document>;
 
 /// A message with what every message carries.
 struct envelope {
--- a/Source/wire/message_codec.cpp
+++ b/Source/wire/message_codec.cpp
@@ -32,6 +32,8 @@
     "claim_complete",
     "claim_complete_answer",
     "suspicions",
+    "document_request",
+    "configuration_document",
 };
 
 using body_decoder = message (*)(const json&, record_decoder&);
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -27,7 +27,8 @@
 struct record_fields<wire::heartbeat> {
   static constexpr auto table =
       std::make_tuple(required_field("sequence", &wire::heartbeat::sequence),
-                      required_field("digest", &wire::heartbeat::configuration_digest));
+                      required_field("digest", &wire::heartbeat::configuration_digest),
+                      optional_field("load", &wire::heartbeat::load));
 };
 
 template <>
@@ -76,7 +77,10 @@
       optional_field("claim", &wire::call::claim_held),
       optional_field("traceparent", &wire::call::traceparent),
       required_field("attempt", &wire::call::attempt, {1, 100}),
-      required_field("retries_left", &wire::call::retries_left, {0, 100}));
+      required_field("retries_left", &wire::call::retries_left, {0, 100}),
+      optional_field("rank", &wire::call::rank), optional_field("nested", &wire::call::nested),
+      optional_field("work_class", &wire::call::work_class),
+      optional_field("objective_left_ms", &wire::call::objective_left_ms));
 };
 
 template <>
@@ -89,7 +93,8 @@
       required_field("body", &wire::call_answer::body),
       optional_field("reason", &wire::call_answer::reason),
       optional_field("retry_after_ms", &wire::call_answer::retry_after_ms, {0, 3'600'000}),
-      required_field("load", &wire::call_answer::load));
+      required_field("load", &wire::call_answer::load),
+      optional_field("reached_target", &wire::call_answer::reached_target));
 };
 
 template <>
@@ -151,6 +156,18 @@
                       optional_field("final", &wire::claim_complete_answer::final));
 };
 
+template <>
+struct record_fields<wire::document_request> {
+  static constexpr auto table = std::make_tuple();
+};
+
+template <>
+struct record_fields<wire::configuration_document> {
+  static constexpr auto table =
+      std::make_tuple(required_field("version", &wire::configuration_document::version),
+                      required_field("text", &wire::configuration_document::text));
+};
+
 template <>
 struct record_fields<wire::suspicions> {
   static constexpr auto table =
