Place by the chance of missing the objective against the price of crossing zones

Cause: the expected time alone sent requests to the fastest upstream of any zone, although the own zone's met the latency objective; bytes between zones were the highest price after the machines. Each caller learned of a failing upstream alone. A deadline timer fired a moment before answers that were on their way.

Change: the pool weighs lateness against the objective, failures and the price of crossing; daemons report their target's share of failures; the last answer may come 40 ms after the deadline.

--- a/Source/routing/load_report.h
+++ b/Source/routing/load_report.h
@@ -12,6 +12,7 @@
   std::int32_t slots_in_use = 0;     ///< Requests running now.
   std::int32_t queued = 0;           ///< Requests waiting for a slot.
   std::int64_t service_time_us = 0;  ///< Mean time of a request in a slot; 0 if not known.
+  std::int32_t failed_percent = 0;   ///< Share of recent requests that the target failed.
   friend bool operator==(const load_report&, const load_report&) = default;
 };
 
@@ -21,7 +22,8 @@
       std::make_tuple(required_field("slots", &load_report::slots, {0, 10'000}),
                       required_field("slots_in_use", &load_report::slots_in_use, {0, 10'000}),
                       required_field("queued", &load_report::queued, {0, 1'000'000}),
-                      optional_field("service_time_us", &load_report::service_time_us));
+                      optional_field("service_time_us", &load_report::service_time_us),
+                      optional_field("failed_percent", &load_report::failed_percent, {0, 100}));
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -25,6 +25,7 @@
 constexpr duration idle_limit = std::chrono::seconds(5);
 constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 
+constexpr double percent_of_one = 100;
 constexpr int status_success = 200;
 constexpr int status_first_redirect = 300;
 constexpr int status_misdirected = 421;
@@ -197,14 +198,15 @@
           registry_.target().has_value() ? registry_.target()->announcement.id : std::string()},
          {"ran_ms", (now - one->started_at).count() / 1'000}});
   }
-  note_lost_target(one, end);
+  failures_.record(end != target_exchange::success, now);
+  note_lost_target(end);
   const slot_changes changes = queue_.finished(one->ticket, now);
   answer(one, std::move(value));
   apply(changes);
 }
 
 /// Stops using a target that is not there any more, until it is heard again.
-void inbound_gateway::note_lost_target(const work_pointer&, target_exchange end) {
+void inbound_gateway::note_lost_target(target_exchange end) {
   const bool gone = end == target_exchange::not_connected || end == target_exchange::another_target;
   if (gone && registry_.target().has_value()) {
     registry_.forget(registry_.target()->announcement.id);
@@ -212,6 +214,13 @@
   }
 }
 
+load_report inbound_gateway::load() const {
+  load_report report = queue_.load();
+  report.failed_percent =
+      static_cast<std::int32_t>(failures_.value(shared_.loop.now()) * percent_of_one);
+  return report;
+}
+
 void inbound_gateway::refuse(const work_pointer& one, const std::string& reason,
                              duration retry_after) {
   shared_.counters.count_refusal(reason);
@@ -226,7 +235,7 @@
 void inbound_gateway::answer(const work_pointer& one, wire::call_answer value) {
   work_.erase(one->ticket);
   value.id = one->request.id;
-  value.load = queue_.load();
+  value.load = load();
   ledger_.set_done(one->from, one->request.sender_incarnation, value, shared_.loop.now());
   callbacks_.send_answer(one->from, value);
 }
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "link/request_ledger.h"
+#include "mesh/failure_share.h"
 #include "mesh/route_table.h"
 #include "mesh/slot_queue.h"
 #include "mesh/target_answer.h"
@@ -40,7 +41,7 @@
 
   [[nodiscard]] bool takes_requests() const { return registry_.takes_requests(); }
   [[nodiscard]] const target_registry& registry() const noexcept { return registry_; }
-  [[nodiscard]] load_report load() const { return queue_.load(); }
+  [[nodiscard]] load_report load() const;
   /// Requests that wait or run.
   [[nodiscard]] std::size_t active() const noexcept { return work_.size(); }
   [[nodiscard]] std::uint64_t connections_opened() const { return target_.connections_opened(); }
@@ -53,7 +54,7 @@
   [[nodiscard]] http_request outgoing_request(const work_pointer& one) const;
   [[nodiscard]] target_exchange classify(const http_result& result) const;
   void target_answered(const work_pointer& one, const http_result& result);
-  void note_lost_target(const work_pointer& one, target_exchange end);
+  void note_lost_target(target_exchange end);
   void apply(const slot_changes& changes);
   void refuse(const work_pointer& one, const std::string& reason, duration retry_after);
   void answer(const work_pointer& one, wire::call_answer value);
@@ -65,6 +66,7 @@
   target_registry registry_;
   slot_queue queue_;
   request_ledger ledger_;
+  failure_share failures_;
   http_client target_;
   http_client prober_;
   std::map<std::uint64_t, work_pointer> work_;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t refusals_limit = 3;
 /// A repeat that could not be answered before the deadline is not worth an upstream's work.
 constexpr duration least_time_for_repeat = std::chrono::milliseconds(20);
+/// Targets work until the deadline; an answer of the last moment may be on its way for this long.
+constexpr duration last_answer_time = std::chrono::milliseconds(40);
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds(500);
 
@@ -59,7 +61,8 @@
   set_deadline();
   prepare_call();
   services_.retries[service_].request_started(arrived_at_, shared_.retries.window);
-  deadline_timer_ = shared_.loop.after(deadline_ - arrived_at_, [weak = weak_from_this()] {
+  const duration patience = deadline_ - arrived_at_ + last_answer_time;
+  deadline_timer_ = shared_.loop.after(patience, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->deadline_passed();
     }
@@ -112,7 +115,8 @@
 
 void outbound_request::send_attempt() {
   const time_point now = shared_.loop.now();
-  const auto instance = services_.upstreams.choose(service_, tried_, now, shared_.random);
+  const placement_request wanted{service_, tried_, arrived_at_ + route_.latency_objective_ms - now};
+  const auto instance = services_.upstreams.choose(wanted, now, shared_.random);
   if (!instance.has_value()) {
     if (failure_answer_.has_value()) {
       deliver(*failure_answer_);
@@ -132,10 +136,11 @@
   const std::size_t index = attempts_.size();
   attempts_.push_back({0, *instance, now});
   services_.upstreams.attempt_started(*instance);
-  attempts_[index].id = services_.router.send(
-      *instance, call_, deadline_, [self = shared_from_this(), index](const call_outcome& outcome) {
-        self->attempt_ended(index, outcome);
-      });
+  attempts_[index].id =
+      services_.router.send(*instance, call_, deadline_ + last_answer_time,
+                            [self = shared_from_this(), index](const call_outcome& outcome) {
+                              self->attempt_ended(index, outcome);
+                            });
 }
 
 void outbound_request::note_quality(const attempt& ended, const call_outcome& outcome) {
@@ -150,7 +155,7 @@
   }
   services_.upstreams.attempt_ended(ended.instance, quality, shared_.loop.now());
   if (outcome.answer.has_value()) {
-    services_.upstreams.load_reported(ended.instance, outcome.answer->load, shared_.loop.now());
+    services_.upstreams.load_reported(ended.instance, outcome.answer->load);
   }
 }
 
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -24,7 +24,7 @@
 /// Answers end their connections for this long before idle connections are closed.
 constexpr duration close_notice_time = std::chrono::milliseconds(700);
 /// Left of the time to stop for the last answers to leave.
-constexpr duration stop_reserve = std::chrono::milliseconds(400);
+constexpr duration stop_reserve = std::chrono::milliseconds(800);
 constexpr duration flush_time = std::chrono::milliseconds(100);
 
 std::uint64_t start_incarnation() {
@@ -169,7 +169,7 @@
   });
   dispatcher.on<wire::heartbeat>([this](const instance_name& from, const auto& beat) {
     if (beat.load.has_value()) {
-      upstreams_.load_reported(from, *beat.load, loop_.now());
+      upstreams_.load_reported(from, *beat.load);
     }
   });
   dispatcher.on<wire::document_request>([this](const instance_name& from, const auto&) {
--- a/Source/transport/http_framing.h
+++ b/Source/transport/http_framing.h
@@ -32,6 +32,8 @@
  public:
   explicit http_request_reader(http_size_limits limits);
   ~http_request_reader();
+  http_request_reader(const http_request_reader&) = delete;
+  http_request_reader& operator=(const http_request_reader&) = delete;
   http_request_reader(http_request_reader&&) noexcept;
   http_request_reader& operator=(http_request_reader&&) noexcept;
 
@@ -62,6 +64,8 @@
  public:
   http_response_reader(const std::string& request_method, http_size_limits limits);
   ~http_response_reader();
+  http_response_reader(const http_response_reader&) = delete;
+  http_response_reader& operator=(const http_response_reader&) = delete;
   http_response_reader(http_response_reader&&) noexcept;
   http_response_reader& operator=(http_response_reader&&) noexcept;
 
--- /dev/null
+++ b/Tests/mesh/slot_queue_test.cpp
@@ -0,0 +1,124 @@
+#include "mesh/slot_queue.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "core/random_source.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr time_point start{std::chrono::seconds(100)};
+constexpr duration service_time = std::chrono::milliseconds(100);
+
+slot_request make_request(std::uint64_t ticket, std::int32_t rank, time_point now,
+                          duration objective = std::chrono::milliseconds(500)) {
+  slot_request request;
+  request.ticket = ticket;
+  request.rank = rank;
+  request.work_class = "r" + std::to_string(rank);
+  request.deadline = now + std::chrono::seconds(2);
+  request.objective = now + objective;
+  return request;
+}
+
+/// A target on a virtual clock: what became of each request that was offered to its queue.
+class load_run {
+ public:
+  explicit load_run(std::int32_t slots) { apply(queue_.set_slots(slots, start), start); }
+
+  void offer(const slot_request& request, time_point now) {
+    finish_until(now);
+    objectives_[request.ticket] = request.objective;
+    apply(queue_.offer(request, now), now);
+  }
+
+  void finish_until(time_point now) {
+    while (!running_.empty() && running_.begin()->first <= now) {
+      const auto [ended, ticket] = *running_.begin();
+      running_.erase(running_.begin());
+      in_time_ += ended <= objectives_[ticket] ? 1 : 0;
+      late_ += ended > objectives_[ticket] ? 1 : 0;
+      apply(queue_.finished(ticket, ended), ended);
+    }
+  }
+
+  void apply(const slot_changes& changes, time_point now) {
+    for (const std::uint64_t ticket : changes.started) {
+      running_.emplace(now + service_time, ticket);
+      order_.push_back(ticket);
+    }
+    refused_ += static_cast<int>(changes.refused.size());
+  }
+
+  slot_queue queue_;
+  std::multimap<time_point, std::uint64_t> running_;
+  std::map<std::uint64_t, time_point> objectives_;
+  std::vector<std::uint64_t> order_;
+  int in_time_ = 0;
+  int late_ = 0;
+  int refused_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("requests wait in order of urgency", "[mesh]") {
+  load_run run(1);
+  run.offer(make_request(1, 1, start), start);
+  run.offer(make_request(2, 2, start), start);
+  run.offer(make_request(3, 0, start), start);
+  slot_request nested = make_request(4, 2, start);
+  nested.nested = true;
+  run.offer(nested, start);
+
+  SECTION("those that a running request needs first, then by rank") {
+    run.finish_until(start + std::chrono::seconds(1));
+    CHECK(run.order_ == std::vector<std::uint64_t>{1, 4, 3, 2});
+  }
+  SECTION("a request that is withdrawn leaves its place") {
+    CHECK(run.queue_.withdraw(3));
+    CHECK_FALSE(run.queue_.withdraw(3));
+    run.finish_until(start + std::chrono::seconds(1));
+    CHECK(run.order_ == std::vector<std::uint64_t>{1, 4, 2});
+  }
+  SECTION("when the target leaves, all that wait are refused and what runs goes on") {
+    CHECK(run.queue_.refuse_all(start).refused.size() == 3);
+    CHECK(run.queue_.load().slots_in_use == 1);
+  }
+}
+
+TEST_CASE("under twice the load that fits, what is served is served in time", "[mesh][M3]") {
+  constexpr int slots = 10;
+  load_run run(slots);
+  random_source random(5);
+  std::uint64_t ticket = 0;
+  // 200 requests a second of 100 ms each for 10 slots, for 10 s, after a second of light load.
+  for (time_point now = start; now < start + std::chrono::seconds(11);) {
+    const bool heavy = now >= start + std::chrono::seconds(1);
+    run.offer(make_request(++ticket, static_cast<std::int32_t>(random.index(2)), now), now);
+    now += random.exponential(std::chrono::milliseconds(heavy ? 5 : 40));
+  }
+  run.finish_until(start + std::chrono::seconds(20));
+  const int capacity = 1'000;
+  CHECK(run.in_time_ >= capacity * 95 / 100);
+  CHECK(run.late_ <= run.in_time_ / 20);
+  CHECK(run.refused_ + run.in_time_ + run.late_ == static_cast<int>(ticket));
+}
+
+TEST_CASE("a request that cannot meet its deadline is refused at once", "[mesh]") {
+  load_run run(1);
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    run.offer(make_request(ticket, 0, start), start);
+    run.finish_until(start + std::chrono::seconds(1));
+  }
+  slot_request hopeless = make_request(9, 0, start);
+  hopeless.deadline = start + std::chrono::milliseconds(20);
+  const slot_changes changes = run.queue_.offer(hopeless, start);
+  REQUIRE(changes.refused.size() == 1);
+  CHECK(changes.refused.front().reason == slot_refusal::too_late);
+  CHECK(changes.started.empty());
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Tests/mesh/upstream_pool_test.cpp
@@ -0,0 +1,99 @@
+#include "mesh/upstream_pool.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace crocusdoor {
+
+namespace {
+
+const service_name service("s");
+constexpr time_point now{std::chrono::seconds(100)};
+constexpr duration objective = std::chrono::milliseconds(500);
+
+mesh_upstream make_upstream(const std::string& name, const std::string& domain) {
+  return {instance_name(name), service, failure_domain(domain), 12, true, {}};
+}
+
+load_report make_load(std::int32_t in_use, std::int32_t queued, std::int64_t service_ms) {
+  return {12, in_use, queued, service_ms * 1'000};
+}
+
+std::map<std::string, int> choices(upstream_pool& pool, int count, time_point at = now) {
+  random_source random(1);
+  std::map<std::string, int> result;
+  for (int i = 0; i < count; ++i) {
+    const auto chosen = pool.choose({service, {}, objective}, at, random);
+    ++result[chosen.has_value() ? chosen->str() : "none"];
+  }
+  return result;
+}
+
+}  // namespace
+
+TEST_CASE("a request goes where its answer is expected first", "[mesh][M5]") {
+  upstream_pool pool((failure_domain("a")));
+  pool.set_upstream(make_upstream("near", "a"));
+  pool.set_upstream(make_upstream("far", "b"));
+  pool.load_reported(instance_name("near"), make_load(2, 0, 100));
+  pool.load_reported(instance_name("far"), make_load(2, 0, 100));
+
+  SECTION("to the own zone while it meets the objective, also if another one is faster") {
+    CHECK(choices(pool, 50)["near"] == 50);
+    pool.load_reported(instance_name("near"), make_load(2, 0, 250));
+    CHECK(choices(pool, 50)["near"] == 50);
+  }
+  SECTION("to another zone when the own one is full") {
+    pool.load_reported(instance_name("near"), make_load(12, 8, 100));
+    CHECK(choices(pool, 50)["far"] == 50);
+  }
+  SECTION("away from an upstream that has turned slow") {
+    pool.load_reported(instance_name("near"), make_load(2, 0, 900));
+    CHECK(choices(pool, 50)["far"] == 50);
+  }
+  SECTION("own requests count before the upstream reports them") {
+    for (int i = 0; i < 24; ++i) {
+      pool.attempt_started(instance_name("near"));
+    }
+    CHECK(choices(pool, 50)["far"] == 50);
+  }
+  SECTION("away from an upstream that fails a part of its requests, and back when it is well") {
+    for (int i = 0; i < 10; ++i) {
+      pool.attempt_ended(instance_name("near"),
+                         i % 2 == 0 ? attempt_quality::failed : attempt_quality::good, now);
+    }
+    CHECK(choices(pool, 50)["far"] == 50);
+    CHECK(choices(pool, 50, now + std::chrono::seconds(30))["near"] == 50);
+  }
+  SECTION("away from an upstream whose daemon reports failures of others") {
+    load_report failing = make_load(2, 0, 100);
+    failing.failed_percent = 30;
+    pool.load_reported(instance_name("near"), failing);
+    CHECK(choices(pool, 50)["far"] == 50);
+  }
+  SECTION("never to one that leaves, is silent or has been tried") {
+    mesh_upstream leaving = make_upstream("near", "a");
+    leaving.takes_requests = false;
+    pool.set_upstream(leaving);
+    CHECK(choices(pool, 10)["far"] == 10);
+    pool.set_silent(instance_name("far"), true);
+    CHECK(choices(pool, 10)["none"] == 10);
+    pool.set_silent(instance_name("far"), false);
+    random_source random(1);
+    CHECK_FALSE(pool.choose({service, {instance_name("far")}, objective}, now, random).has_value());
+  }
+}
+
+TEST_CASE("daemons with the same reports do not all choose the same upstream", "[mesh]") {
+  upstream_pool pool((failure_domain("a")));
+  for (const char* name : {"one", "two", "three"}) {
+    pool.set_upstream(make_upstream(name, "a"));
+    pool.load_reported(instance_name(name), make_load(3, 0, 100));
+  }
+  std::map<std::string, int> chosen = choices(pool, 300);
+  for (const char* name : {"one", "two", "three"}) {
+    CHECK(chosen[name] >= 60);
+  }
+}
+
+}  // namespace crocusdoor
