Refuse at the caller's daemon what no upstream can answer in time

Change: load reports carry the expected wait by rank; the pool refuses from them; waiting is by rank and objective; short requests may wait until their deadline; a stopping sidecar closes its listener before it finishes what it has read; one daemon of two dials; refusals end their connection; the rotation of a split route starts anywhere in its cycle.

--- a/Source/admission/service_time_history.cpp
+++ b/Source/admission/service_time_history.cpp
@@ -64,4 +64,9 @@
   return work_class.samples() >= samples_needed ? work_class : overall_;
 }
 
+duration service_time_history::known_mean(const std::string& work_class) const {
+  const auto found = by_class_.find(work_class);
+  return found == by_class_.end() ? duration::zero() : found->second.mean();
+}
+
 }  // namespace crocusdoor
--- a/Source/admission/service_time_history.h
+++ b/Source/admission/service_time_history.h
@@ -40,6 +40,8 @@
   [[nodiscard]] duration typical(const service_time_estimate& work_class) const;
   /// Expected mean service time of a work class; that of all requests for a new class.
   [[nodiscard]] duration mean(const service_time_estimate& work_class) const;
+  /// Mean of a work class; zero if nothing is known of it.
+  [[nodiscard]] duration known_mean(const std::string& work_class) const;
   /// Median over all requests.
   [[nodiscard]] duration typical() const { return overall_.typical(); }
   /// Mean over all requests.
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -67,8 +67,12 @@
 void peer_mesh::maintain_permanent_links() {
   const time_point now = loop_.now();
   for (const instance_name& peer : permanent_) {
-    const auto due = next_attempt_.find(peer);
-    if (due == next_attempt_.end() || due->second <= now) {
+    if (linked(peer)) {
+      continue;
+    }
+    const duration wait = peer < settings_.self ? settings_.passive_delay : duration::zero();
+    const auto due = next_attempt_.try_emplace(peer, now + wait).first;
+    if (due->second <= now) {
       ensure_link(peer);
     }
   }
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -29,6 +29,9 @@
     duration first_retry_delay{};
     duration longest_retry_delay{};
     bool answer_heartbeats = true;
+    /// How long a link to a permanent peer with a lesser name is left to the peer to open, so that
+    /// two daemons do not both dial.
+    duration passive_delay{};
   };
 
   struct handlers {
--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "mesh/slot_queue.h"
 
 #include <algorithm>
+#include <array>
 
 namespace crocusdoor {
 
@@ -9,79 +10,95 @@
 /// Service time assumed before the first request has finished.
 constexpr duration unknown_service_time = std::chrono::milliseconds(100);
 constexpr duration shortest_retry_after = std::chrono::milliseconds(50);
+/// Ranks whose expected wait is reported; less urgent ones share the last.
+constexpr std::int32_t reported_ranks = 4;
+
+std::int32_t to_ms(duration span) {
+  return static_cast<std::int32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
 
 }  // namespace
 
-duration slot_queue::typical_time(const std::string& work_class) {
-  const duration known = history_.typical(*history_.class_of(work_class));
+duration slot_queue::typical_time(const service_time_estimate& work_class) const {
+  const duration known = history_.typical(work_class);
   return known > duration::zero() ? known : unknown_service_time;
 }
 
+bool slot_queue::has_free_slot() const {
+  return static_cast<std::int32_t>(running_.size()) < slots_;
+}
+
+bool slot_queue::is_short(const service_time_estimate& work_class) const {
+  return work_class.samples() > 0 && work_class.mean() < history_.mean();
+}
+
 /// Time until a slot is free for a request at this place: the work ahead of it, shared by the
 /// slots.
-duration slot_queue::expected_wait(const place& where) {
-  duration ahead{0};
-  std::int64_t count = 0;
-  for (const auto& [position, request] : waiting_) {
+duration slot_queue::expected_wait(const place& where) const {
+  if (has_free_slot()) {
+    return duration::zero();
+  }
+  // On the mean, the next of the running requests ends after one part of a service time.
+  duration ahead = std::max(history_.mean(), duration(1));
+  for (const auto& [position, one] : waiting_) {
     if (position > where) {
       break;
     }
-    ahead += history_.mean(*history_.class_of(request.work_class));
-    ++count;
-  }
-  const auto free = static_cast<std::int64_t>(slots_) - static_cast<std::int64_t>(running_.size());
-  if (free > count) {
-    return duration::zero();
+    ahead += history_.mean(*one.work_class);
   }
-  const duration mean = std::max(history_.mean(), duration(1));
-  return (ahead + mean) / std::max(slots_, 1);
+  return ahead / std::max(slots_, 1);
 }
 
-duration slot_queue::drain_time() {
-  const auto waiting = static_cast<duration::rep>(waiting_.size() + 1);
-  return std::max(history_.mean() * waiting / std::max(slots_, 1), shortest_retry_after);
+/// When a refused request would be in time, as far as is known now.
+duration slot_queue::retry_after(duration overrun) const {
+  return std::max(overrun, shortest_retry_after);
+}
+
+void slot_queue::refuse(const slot_request& request, slot_refusal reason, duration overrun,
+                        slot_changes& changes) {
+  changes.refused.push_back({request.ticket, reason, retry_after(overrun)});
 }
 
 slot_changes slot_queue::offer(const slot_request& request, time_point now) {
   slot_changes changes;
-  const place where{!request.nested, request.rank, ++arrivals_};
-  const duration service = typical_time(request.work_class);
-  const time_point answered = now + expected_wait(where) + service;
-  const bool has_free_slot = running_.size() < static_cast<std::size_t>(std::max(slots_, 0));
+  service_time_estimate* work_class = history_.class_of(request.work_class);
+  const place where{request.rank, request.objective, ++arrivals_};
+  const time_point answered = now + expected_wait(where) + typical_time(*work_class);
   if (answered > request.deadline) {
-    changes.refused.push_back({request.ticket, slot_refusal::too_late, drain_time()});
+    refuse(request, slot_refusal::too_late, answered - request.deadline, changes);
     return changes;
   }
-  if (answered > request.objective && !has_free_slot) {
-    changes.refused.push_back({request.ticket, slot_refusal::full, drain_time()});
+  if (answered > request.objective && !has_free_slot() && !is_short(*work_class)) {
+    refuse(request, slot_refusal::full, answered - request.objective, changes);
     return changes;
   }
-  waiting_.emplace(where, request);
+  waiting_.emplace(where, waiting_request{request, work_class});
   start_waiting(now, changes);
   refuse_late(now, changes);
   return changes;
 }
 
-void slot_queue::start(const slot_request& request, time_point now, slot_changes& changes) {
-  running_[request.ticket] = {request.work_class, now};
-  changes.started.push_back(request.ticket);
+void slot_queue::start(const waiting_request& one, time_point now, slot_changes& changes) {
+  running_[one.request.ticket] = {one.work_class, now};
+  changes.started.push_back(one.request.ticket);
 }
 
 void slot_queue::start_waiting(time_point now, slot_changes& changes) {
-  while (!waiting_.empty() && running_.size() < static_cast<std::size_t>(std::max(slots_, 0))) {
+  while (!waiting_.empty() && has_free_slot()) {
     const auto first = waiting_.begin();
-    const slot_request next = first->second;
+    start(first->second, now, changes);
     waiting_.erase(first);
-    start(next, now, changes);
   }
 }
 
 /// A request that arrived later may have gone ahead of one that waits.
 void slot_queue::refuse_late(time_point now, slot_changes& changes) {
   for (auto entry = waiting_.begin(); entry != waiting_.end();) {
-    const slot_request& request = entry->second;
-    if (now + typical_time(request.work_class) > request.deadline) {
-      changes.refused.push_back({request.ticket, slot_refusal::too_late, drain_time()});
+    const waiting_request& one = entry->second;
+    const time_point answered = now + typical_time(*one.work_class);
+    if (answered > one.request.deadline) {
+      refuse(one.request, slot_refusal::too_late, answered - one.request.deadline, changes);
       entry = waiting_.erase(entry);
     } else {
       ++entry;
@@ -93,7 +110,7 @@
   slot_changes changes;
   const auto found = running_.find(ticket);
   if (found != running_.end()) {
-    history_.record(*history_.class_of(found->second.work_class), now - found->second.started_at);
+    history_.record(*found->second.work_class, now - found->second.started_at);
     running_.erase(found);
   }
   refuse_late(now, changes);
@@ -102,8 +119,9 @@
 }
 
 bool slot_queue::withdraw(std::uint64_t ticket) {
-  return std::erase_if(waiting_, [&](const auto& entry) { return entry.second.ticket == ticket; }) >
-         0;
+  return std::erase_if(waiting_, [&](const auto& entry) {
+           return entry.second.request.ticket == ticket;
+         }) > 0;
 }
 
 slot_changes slot_queue::expire(time_point now) {
@@ -112,10 +130,10 @@
   return changes;
 }
 
-slot_changes slot_queue::refuse_all(time_point) {
+slot_changes slot_queue::refuse_all() {
   slot_changes changes;
-  for (const auto& [position, request] : waiting_) {
-    changes.refused.push_back({request.ticket, slot_refusal::closed, shortest_retry_after});
+  for (const auto& [position, one] : waiting_) {
+    refuse(one.request, slot_refusal::closed, duration::zero(), changes);
   }
   waiting_.clear();
   return changes;
@@ -134,6 +152,11 @@
   report.slots_in_use = static_cast<std::int32_t>(running_.size());
   report.queued = static_cast<std::int32_t>(waiting_.size());
   report.service_time_us = history_.mean().count();
+  if (!has_free_slot()) {
+    for (std::int32_t rank = 0; rank < reported_ranks; ++rank) {
+      report.wait_ms.push_back(to_ms(expected_wait({rank, time_point::max(), arrivals_})));
+    }
+  }
   return report;
 }
 
--- a/Source/mesh/slot_queue.h
+++ b/Source/mesh/slot_queue.h
@@ -16,7 +16,6 @@
 struct slot_request {
   std::uint64_t ticket = 0;
   std::int32_t rank = 0;   ///< Of its route; 0 is the most urgent.
-  bool nested = false;     ///< Whether a request that already runs elsewhere waits for it.
   std::string work_class;  ///< Requests that take similar time, for example a route name.
   time_point deadline;     ///< When its answer is of no use any more.
   time_point objective;    ///< Until when its answer is worth most.
@@ -53,10 +52,12 @@
 
 /// Decides at the daemon beside a target which requests run, wait or are refused.
 ///
-/// Load that it answers: more requests than slots for seconds. Requests wait in order of urgency,
-/// those that a running request needs first, because a failed one wastes the work already done. One
-/// that could not be answered within its latency objective is refused on arrival, so that its
-/// caller can go elsewhere while there is time, and does not hold up those that can.
+/// Load that it answers: more requests than slots for seconds. Requests wait by rank, and within a
+/// rank by the time until which their answer is worth most: calls that a running request makes have
+/// the short objectives, and a late one wastes the work already done for its caller. A request that
+/// could not be answered within its objective is refused on arrival, so that its caller can go
+/// elsewhere while there is time, and does not hold up those that can. A short request costs the
+/// others little and may wait until its deadline.
 class slot_queue {
  public:
   /// Starts, queues or refuses a request; it may also displace waiting ones of less urgency.
@@ -68,35 +69,42 @@
   /// Refuses the waiting requests that can no longer be answered in time.
   [[nodiscard]] slot_changes expire(time_point now);
   /// Refuses all waiting requests.
-  [[nodiscard]] slot_changes refuse_all(time_point now);
+  [[nodiscard]] slot_changes refuse_all();
   [[nodiscard]] slot_changes set_slots(std::int32_t slots, time_point now);
 
   [[nodiscard]] load_report load() const;
-  /// Expected time in a slot of a request of this class.
-  [[nodiscard]] duration typical_time(const std::string& work_class);
 
  private:
-  /// Order of waiting: nested before others, then by rank, then by arrival.
+  /// Order of waiting.
   struct place {
-    bool outer = false;
     std::int32_t rank = 0;
+    time_point objective;
     std::uint64_t arrival = 0;
     friend auto operator<=>(const place&, const place&) = default;
   };
+  struct waiting_request {
+    slot_request request;
+    service_time_estimate* work_class = nullptr;
+  };
   struct running_request {
-    std::string work_class;
+    service_time_estimate* work_class = nullptr;
     time_point started_at;
   };
 
-  [[nodiscard]] duration expected_wait(const place& where);
-  [[nodiscard]] duration drain_time();
-  void start(const slot_request& request, time_point now, slot_changes& changes);
+  [[nodiscard]] duration typical_time(const service_time_estimate& work_class) const;
+  [[nodiscard]] duration expected_wait(const place& where) const;
+  [[nodiscard]] bool has_free_slot() const;
+  [[nodiscard]] bool is_short(const service_time_estimate& work_class) const;
+  [[nodiscard]] duration retry_after(duration overrun) const;
+  void start(const waiting_request& one, time_point now, slot_changes& changes);
+  void refuse(const slot_request& request, slot_refusal reason, duration overrun,
+              slot_changes& changes);
   void start_waiting(time_point now, slot_changes& changes);
   void refuse_late(time_point now, slot_changes& changes);
 
   std::int32_t slots_ = 1;
   std::uint64_t arrivals_ = 0;
-  std::map<place, slot_request> waiting_;
+  std::map<place, waiting_request> waiting_;
   std::map<std::uint64_t, running_request> running_;
   service_time_history history_;
 };
--- a/Source/mesh/upstream_pool.h
+++ b/Source/mesh/upstream_pool.h
@@ -3,8 +3,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "admission/service_time_history.h"
 #include "core/random_source.h"
 #include "core/strong_string.h"
 #include "core/time.h"
@@ -26,8 +28,19 @@
 /// What a request asks of its upstream.
 struct placement_request {
   service_name service;
+  std::string work_class;            ///< Requests that take similar time.
+  std::int32_t rank = 0;             ///< 0 is the most urgent.
   std::vector<instance_name> tried;  ///< Upstreams that it has been sent to.
-  duration objective;                ///< Until its answer is worth less.
+  duration objective{0};             ///< Until its answer is worth less.
+  duration deadline{0};              ///< Until its answer is worth nothing.
+};
+
+/// Where a request goes. Without an instance it is refused: no upstream takes requests, or none
+/// could answer within the objective.
+struct placement {
+  std::optional<instance_name> instance;
+  bool overloaded = false;
+  duration retry_after{0};  ///< Until an upstream could answer in time, if overloaded.
 };
 
 /// How an attempt at an upstream ended, as far as placing is concerned.
@@ -52,13 +65,15 @@
   /// The link to an upstream's daemon has been silent for too long, or is heard again.
   void set_silent(const instance_name& instance, bool silent);
 
-  /// Where to send a request, or nothing if no upstream outside `tried` takes requests.
-  [[nodiscard]] std::optional<instance_name> choose(const placement_request& request,
-                                                    time_point now, random_source& random);
+  /// Where to send a request, of the upstreams outside `tried`.
+  [[nodiscard]] placement choose(const placement_request& request, time_point now,
+                                 random_source& random);
 
   void attempt_started(const instance_name& instance);
   void attempt_ended(const instance_name& instance, attempt_quality quality, time_point now);
-  void load_reported(const instance_name& instance, const load_report& load);
+  void load_reported(const instance_name& instance, const load_report& load, time_point now);
+  /// A request of this class has spent this time at an upstream.
+  void service_time_measured(const std::string& work_class, duration time);
 
   /// Upstreams of a service that take requests.
   [[nodiscard]] std::size_t available(const service_name& service) const;
@@ -67,17 +82,30 @@
   struct state {
     mesh_upstream upstream;
     load_report load;
+    time_point reported_at{};
     std::int32_t outstanding = 0;        ///< Own attempts without an answer.
     std::int32_t sent_since_report = 0;  ///< Own attempts that the load does not include.
     failure_share failures;              ///< Of own attempts.
     bool silent = false;
   };
 
-  [[nodiscard]] static double expected_ms(const state& one, time_point now);
-  [[nodiscard]] double cost(const state& one, duration objective, time_point now) const;
+  /// A candidate for a request.
+  struct candidate {
+    const state* upstream = nullptr;
+    double expected_ms = 0;  ///< Until the answer.
+    double limit_ms = 0;     ///< Until when the answer is worth waiting for.
+    double cost = 0;
+  };
+
+  [[nodiscard]] std::vector<candidate> candidates_for(const placement_request& request,
+                                                      time_point now) const;
+  [[nodiscard]] static double wait_ms(const state& one, std::int32_t rank);
+  [[nodiscard]] double cost(const candidate& one, duration objective, time_point now) const;
+  [[nodiscard]] static bool may_answer_in_time(const candidate& one, time_point now);
 
   failure_domain own_domain_;
   std::map<instance_name, state> upstreams_;
+  service_time_history history_;
 };
 
 }  // namespace crocusdoor
--- a/Source/mesh/weighted_rotation.cpp
+++ b/Source/mesh/weighted_rotation.cpp
@@ -4,33 +4,45 @@
 
 namespace crocusdoor {
 
+namespace {
+
+/// Longest way into a rotation from which a daemon starts.
+constexpr std::size_t start_limit = 1'000;
+
+}  // namespace
+
+const weighted_service& weighted_rotation::advance(const mesh_route& route, credits& held) {
+  double total = 0;
+  const weighted_service* chosen = &route.services.front();
+  for (const weighted_service& one : route.services) {
+    total += one.weight;
+    held[one.service] += one.weight;
+    if (held[one.service] > held[chosen->service]) {
+      chosen = &one;
+    }
+  }
+  held[chosen->service] -= total;
+  return *chosen;
+}
+
 service_name weighted_rotation::next(const mesh_route& route, random_source& random) {
   if (route.services.size() == 1) {
     routes_.erase(route.name);
     return route.services.front().service;
   }
-  double total = 0;
-  for (const weighted_service& one : route.services) {
-    total += one.weight;
-  }
-  credits& held = routes_[route.name];
-  std::erase_if(held, [&](const auto& entry) {
-    return std::none_of(route.services.begin(), route.services.end(),
-                        [&](const weighted_service& one) { return one.service == entry.first; });
-  });
-  const weighted_service* chosen = &route.services.front();
-  for (const weighted_service& one : route.services) {
-    const auto [credit, added] = held.try_emplace(one.service, 0.0);
-    if (added) {
-      credit->second = random.fraction() * one.weight;
+  rotation& one = routes_[route.name];
+  if (one.services != route.services) {
+    one = {route.services, {}};
+    std::size_t total = 0;
+    for (const weighted_service& part : route.services) {
+      total += static_cast<std::size_t>(std::max(part.weight, 0));
     }
-    credit->second += one.weight;
-    if (credit->second > held[chosen->service]) {
-      chosen = &one;
+    const std::size_t start = random.index(std::clamp<std::size_t>(total, 1, start_limit));
+    for (std::size_t step = 0; step < start; ++step) {
+      (void)advance(route, one.held);
     }
   }
-  held[chosen->service] -= total;
-  return chosen->service;
+  return advance(route, one.held).service;
 }
 
 }  // namespace crocusdoor
--- a/Source/mesh/weighted_rotation.h
+++ b/Source/mesh/weighted_rotation.h
@@ -18,8 +18,16 @@
  private:
   using credits = std::map<service_name, double>;
 
-  /// Credit of each service of a route: the service with most of it is next.
-  std::map<route_name, credits> routes_;
+  /// Where a daemon is in the rotation of a route.
+  struct rotation {
+    std::vector<weighted_service> services;
+    credits held;
+  };
+
+  /// Credit of each service: the service with most of it is next.
+  [[nodiscard]] static const weighted_service& advance(const mesh_route& route, credits& held);
+
+  std::map<route_name, rotation> routes_;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 /// Pause between a change and the next watch: a series of changes costs one call for several.
-constexpr duration settle_time = std::chrono::milliseconds(200);
+constexpr duration settle_time = std::chrono::milliseconds(500);
 constexpr duration first_retry_delay = std::chrono::milliseconds(200);
 constexpr duration longest_retry_delay = std::chrono::seconds(2);
 constexpr int doubling_limit = 4;
 /// A version that a peer holds and the own watch has not brought after this time is fetched.
-constexpr duration catch_up_delay = std::chrono::milliseconds(400);
+constexpr duration catch_up_delay = std::chrono::milliseconds(700);
 /// The watches of the fleet end one after the other, one in about this time, so that a change is
 /// seen soon by some daemon even if waiting watches have gone silent.
 constexpr duration fleet_watch_spacing = std::chrono::milliseconds(400);
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -81,7 +81,7 @@
     return;
   }
   work_[one->ticket] = one;
-  apply(queue_.offer({one->ticket, request.rank, request.nested, request.work_class, one->deadline,
+  apply(queue_.offer({one->ticket, request.rank, request.work_class, one->deadline,
                       now + request.objective_left_ms},
                      now));
 }
@@ -178,6 +178,7 @@
   wire::call_answer value;
   value.outcome = proof.outcome;
   value.reached_target = proof.arrived;
+  value.ran_us = (now - one->started_at).count();
   if (result.outcome == http_outcome::answered) {
     heard_at_ = now;
   }
@@ -302,7 +303,7 @@
                     {"running", queue_.load().slots_in_use}});
   callbacks_.status_changed();
   if (!takes) {
-    apply(queue_.refuse_all(shared_.loop.now()));
+    apply(queue_.refuse_all());
   }
 }
 
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -23,6 +23,7 @@
 /// Targets work until the deadline; an answer of the last moment may be on its way for this long.
 constexpr duration last_answer_time = std::chrono::milliseconds(40);
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
+constexpr duration shortest_retry_after = std::chrono::milliseconds(50);
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds(500);
 
 std::optional<std::int64_t> number_in(const std::string& text) {
@@ -115,34 +116,44 @@
 
 void outbound_request::send_attempt() {
   const time_point now = shared_.loop.now();
-  const placement_request wanted{service_, tried_, arrived_at_ + route_.latency_objective_ms - now};
-  const auto instance = services_.upstreams.choose(wanted, now, shared_.random);
-  if (!instance.has_value()) {
-    if (failure_answer_.has_value()) {
-      deliver(*failure_answer_);
-    } else if (outcome_so_far_ == verdict::not_run) {
-      refuse(tried_.empty() ? "no_upstream" : "all_upstreams_refused",
-             std::max(retry_after_, default_retry_after));
-    } else {
-      fail(status_bad_gateway, "outcome_unknown");
-    }
+  const placement place =
+      services_.upstreams.choose({service_, call_.work_class, route_.rank, tried_,
+                                  arrived_at_ + route_.latency_objective_ms - now, deadline_ - now},
+                                 now, shared_.random);
+  if (!place.instance.has_value()) {
+    end_unplaced(place);
     return;
   }
-  tried_.push_back(*instance);
+  const instance_name& instance = *place.instance;
+  tried_.push_back(instance);
   call_.deadline_left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now);
   call_.objective_left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       arrived_at_ + route_.latency_objective_ms - now);
   call_.attempt = static_cast<std::int32_t>(tried_.size());
   const std::size_t index = attempts_.size();
-  attempts_.push_back({0, *instance, now});
-  services_.upstreams.attempt_started(*instance);
+  attempts_.push_back({0, instance, now});
+  services_.upstreams.attempt_started(instance);
   attempts_[index].id =
-      services_.router.send(*instance, call_, deadline_ + last_answer_time,
+      services_.router.send(instance, call_, deadline_ + last_answer_time,
                             [self = shared_from_this(), index](const call_outcome& outcome) {
                               self->attempt_ended(index, outcome);
                             });
 }
 
+/// Ends the request because no upstream is left that could answer it in time.
+void outbound_request::end_unplaced(const placement& place) {
+  if (failure_answer_.has_value()) {
+    deliver(*failure_answer_);
+  } else if (outcome_so_far_ != verdict::not_run) {
+    fail(status_bad_gateway, "outcome_unknown");
+  } else if (place.overloaded) {
+    refuse("service_overloaded", std::max(retry_after_, place.retry_after));
+  } else {
+    refuse(tried_.empty() ? "no_upstream" : "all_upstreams_refused",
+           std::max(retry_after_, default_retry_after));
+  }
+}
+
 void outbound_request::note_quality(const attempt& ended, const call_outcome& outcome) {
   attempt_quality quality = attempt_quality::good;
   if (outcome.outcome == verdict::not_run) {
@@ -155,7 +166,10 @@
   }
   services_.upstreams.attempt_ended(ended.instance, quality, shared_.loop.now());
   if (outcome.answer.has_value()) {
-    services_.upstreams.load_reported(ended.instance, outcome.answer->load);
+    services_.upstreams.load_reported(ended.instance, outcome.answer->load, shared_.loop.now());
+    if (outcome.outcome == verdict::ran && outcome.answer->status < status_server_error) {
+      services_.upstreams.service_time_measured(call_.work_class, duration(outcome.answer->ran_us));
+    }
   }
 }
 
@@ -263,7 +277,12 @@
   shared_.counters.count_refusal(reason);
   http_response response;
   response.status = status_unavailable;
-  response.headers["Retry-After"] = seconds_text(retry_after);
+  // Spread, so that the callers refused in one moment do not return in one moment.
+  const duration spread = shared_.random.up_to(retry_after / 2 + duration(1));
+  response.headers["Retry-After"] =
+      seconds_text(std::max(retry_after, shortest_retry_after) + spread);
+  // The caller comes back on a new connection.
+  response.headers["Connection"] = "close";
   response.body = "not run: " + reason + "\n";
   finish(std::move(response), verdict::not_run, reason);
 }
@@ -284,19 +303,20 @@
   const duration took = shared_.loop.now() - arrived_at_;
   shared_.counters.count_caller_request(service_.str(), outcome, response.status);
   shared_.counters.observe_caller_latency(service_.str(), took);
-  if (!reason.empty() || attempts_.size() > 1) {
-    shared_.log.info("request_ended",
-                     {{"request", attempt_id_},
-                      {"route", route_.name.str()},
-                      {"service", service_.str()},
-                      {"version", version_},
-                      {"status", response.status},
-                      {"verdict", std::string(to_string(outcome))},
-                      {"reason", reason},
-                      {"attempts", attempts_.size()},
-                      {"last", tried_.empty() ? std::string() : tried_.back().str()},
-                      {"took_ms", took.count() / 1'000}});
-  }
+  shared_.log.info("request_ended", {{"request", attempt_id_},
+                                     {"client", exchange_->client_address()},
+                                     {"route", route_.name.str()},
+                                     {"rank", route_.rank},
+                                     {"objective_ms", route_.latency_objective_ms.count()},
+                                     {"deadline_ms", (deadline_ - arrived_at_).count() / 1'000},
+                                     {"service", service_.str()},
+                                     {"version", version_},
+                                     {"status", response.status},
+                                     {"verdict", std::string(to_string(outcome))},
+                                     {"reason", reason},
+                                     {"attempts", attempts_.size()},
+                                     {"last", tried_.empty() ? std::string() : tried_.back().str()},
+                                     {"took_ms", took.count() / 1'000}});
   exchange_->respond(response);
   exchange_ = nullptr;
   cancel_attempts();
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -30,6 +30,7 @@
   void prepare_call();
   void set_deadline();
   void send_attempt();
+  void end_unplaced(const placement& place);
   void attempt_ended(std::size_t index, const call_outcome& outcome);
   void note_quality(const attempt& ended, const call_outcome& outcome);
   [[nodiscard]] bool worth_repeating(const call_outcome& outcome) const;
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -18,14 +18,18 @@
 constexpr duration first_redial_delay = std::chrono::milliseconds(50);
 constexpr duration longest_redial_delay = std::chrono::milliseconds(1'000);
 
+/// A daemon that has started opens its links itself; this is for one that cannot.
+constexpr duration passive_dial_delay = std::chrono::milliseconds(600);
+
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 /// Readiness is asked once a second and callers stay until two answers have failed.
 constexpr duration unready_notice_time = std::chrono::milliseconds(2'300);
 /// Answers end their connections for this long before idle connections are closed.
 constexpr duration close_notice_time = std::chrono::milliseconds(700);
 /// Left of the time to stop for the last answers to leave.
-constexpr duration stop_reserve = std::chrono::milliseconds(800);
-constexpr duration flush_time = std::chrono::milliseconds(100);
+constexpr duration stop_reserve = std::chrono::milliseconds(300);
+/// Without a request in progress for this long, the last answers have left.
+constexpr duration flush_time = std::chrono::milliseconds(150);
 
 std::uint64_t start_incarnation() {
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
@@ -97,7 +101,8 @@
           options_.links.silence_limit_ms,
           first_redial_delay,
           longest_redial_delay,
-          false};
+          false,
+          passive_dial_delay};
 }
 
 instance_record sidecar_daemon::self_record() const {
@@ -169,7 +174,7 @@
   });
   dispatcher.on<wire::heartbeat>([this](const instance_name& from, const auto& beat) {
     if (beat.load.has_value()) {
-      upstreams_.load_reported(from, *beat.load);
+      upstreams_.load_reported(from, *beat.load, loop_.now());
     }
   });
   dispatcher.on<wire::document_request>([this](const instance_name& from, const auto&) {
@@ -278,6 +283,7 @@
   }
   stopping_ = true;
   stop_began_ = loop_.now();
+  busy_at_ = stop_began_;
   log_.info("stop_began", {{"callers", callers_->active()}, {"running", gateway_->active()}});
   status_changed();
   if (!gateway_->takes_requests()) {
@@ -295,16 +301,24 @@
   if (since < unready_notice_time + close_notice_time) {
     return;
   }
+  // What is read from here on could not be finished before the process is killed.
+  callers_->stop_accepting();
   callers_->close_idle();
-  const bool idle = callers_->active() == 0 && gateway_->active() == 0;
-  if (idle || since >= options_.bounds.stop_s - stop_reserve) {
+  if (!idle()) {
+    busy_at_ = loop_.now();
+  }
+  if (loop_.now() - busy_at_ >= flush_time || since >= options_.bounds.stop_s - stop_reserve) {
     finish_stop();
   }
 }
 
+bool sidecar_daemon::idle() const {
+  return callers_->active() == 0 && gateway_->active() == 0;
+}
+
 void sidecar_daemon::finish_stop() {
   log_.info("stopped", {{"callers", callers_->active()}, {"running", gateway_->active()}});
-  stop_timer_ = loop_.after(flush_time, [this] { loop_.stop(); });
+  loop_.stop();
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -48,6 +48,7 @@
   void answer_metrics(http_exchange& exchange);
   void continue_stop();
   void finish_stop();
+  [[nodiscard]] bool idle() const;
 
   event_loop& loop_;
   sidecar_settings options_;
@@ -75,6 +76,7 @@
   std::uint64_t record_sequence_ = 1;
   bool stopping_ = false;
   time_point stop_began_{};
+  time_point busy_at_{};  ///< When a request was last in progress during a stop.
   timer_handle stop_timer_;
 };
 
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -1,9 +1,11 @@
 #include "transport/http_server.h"
 
+#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include <array>
 #include <set>
 #include <string>
 #include <utility>
@@ -23,6 +25,8 @@
 constexpr duration linger_time = std::chrono::seconds(1);
 /// Unread input of one connection while its request is answered; pipelined requests wait here.
 constexpr std::size_t input_limit_bytes = 65'536;
+/// Idle connections are closed above this number, before descriptors run out.
+constexpr std::size_t connection_limit = 2'000;
 /// Largest piece of one read.
 constexpr std::size_t read_piece_bytes = 16'384;
 
@@ -123,6 +127,17 @@
     }
   }
 
+  [[nodiscard]] std::string client_address() const {
+    sockaddr_in address{};
+    socklen_t length = sizeof(address);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (getpeername(bufferevent_getfd(stream_), reinterpret_cast<sockaddr*>(&address), &length) ==
+        0) {
+      inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+    }
+    return text.data();
+  }
+
   [[nodiscard]] bool is_idle() const noexcept { return phase_ == phase::idle; }
   [[nodiscard]] bool is_active() const noexcept {
     return phase_ == phase::reading || phase_ == phase::answering;
@@ -284,7 +299,9 @@
 
 http_exchange::http_exchange(std::shared_ptr<detail::http_server_connection> connection,
                              http_request received)
-    : connection_(std::move(connection)), request_(std::move(received)) {}
+    : connection_(std::move(connection)),
+      request_(std::move(received)),
+      client_address_(connection_->client_address()) {}
 
 http_exchange::~http_exchange() {
   if (!answered_ && !disconnected_) {
@@ -333,6 +350,9 @@
     const time_point now = state->loop.now();
     for (const auto& connection : state->connections) {
       connection->check_timeouts(state->limits, now);
+      if (state->connections.size() > connection_limit && connection->is_idle()) {
+        connection->close();
+      }
     }
   });
 }
@@ -353,6 +373,10 @@
   state_->closing = true;
 }
 
+void http_server::stop_accepting() {
+  state_->listener = nullptr;
+}
+
 void http_server::close_idle() {
   for (const auto& connection : state_->connections) {
     if (connection->is_idle()) {
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -25,6 +25,8 @@
   http_exchange& operator=(const http_exchange&) = delete;
 
   [[nodiscard]] const http_request& request() const noexcept { return request_; }
+  /// Address of the client, without its port.
+  [[nodiscard]] const std::string& client_address() const noexcept { return client_address_; }
   /// Whether the client has closed its connection; an answer is then dropped.
   [[nodiscard]] bool disconnected() const noexcept { return disconnected_; }
   /// Sends the answer; only the first call has an effect.
@@ -42,6 +44,7 @@
 
   std::shared_ptr<detail::http_server_connection> connection_;
   http_request request_;
+  std::string client_address_;
   bool answered_ = false;
   bool disconnected_ = false;
   std::function<void()> disconnect_action_;
@@ -71,6 +74,8 @@
   void set_limits(const http_server_limits& limits);
   /// Lets every further answer end its connection.
   void announce_close();
+  /// Accepts no further connections.
+  void stop_accepting();
   /// Closes the connections on which no request is being read or answered.
   void close_idle();
 
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -95,7 +95,6 @@
   std::int32_t attempt = 1;
   std::int32_t retries_left = 0;  ///< Retries that the whole path may still spend.
   std::int32_t rank = 0;          ///< Urgency of the route; 0 is the most urgent.
-  bool nested = false;            ///< Whether a running request waits for this one.
   std::string work_class;         ///< Requests that take similar time.
   /// Until when the answer is worth most; negative if that has passed.
   std::chrono::milliseconds objective_left_ms{0};
@@ -111,6 +110,7 @@
   std::string reason;  ///< Why the request did not run or its outcome is unknown.
   std::chrono::milliseconds retry_after_ms{0};  ///< When a refused request is worth repeating.
   load_report load;
+  std::int64_t ran_us = 0;     ///< Time that the request spent at the target.
   bool reached_target = true;  ///< Whether the target may have received the request.
   friend bool operator==(const call_answer&, const call_answer&) = default;
 };
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -78,7 +78,7 @@
       optional_field("traceparent", &wire::call::traceparent),
       required_field("attempt", &wire::call::attempt, {1, 100}),
       required_field("retries_left", &wire::call::retries_left, {0, 100}),
-      optional_field("rank", &wire::call::rank), optional_field("nested", &wire::call::nested),
+      optional_field("rank", &wire::call::rank),
       optional_field("work_class", &wire::call::work_class),
       optional_field("objective_left_ms", &wire::call::objective_left_ms));
 };
@@ -94,6 +94,7 @@
       optional_field("reason", &wire::call_answer::reason),
       optional_field("retry_after_ms", &wire::call_answer::retry_after_ms, {0, 3'600'000}),
       required_field("load", &wire::call_answer::load),
+      optional_field("ran_us", &wire::call_answer::ran_us),
       optional_field("reached_target", &wire::call_answer::reached_target));
 };
 
