--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -236,6 +236,7 @@
 
 void outbound_request::repeat_or_end(const call_outcome& outcome) {
   if (may_repeat(outcome)) {
+    shared_.counters.count_retry();
     send_attempt();
   } else if (failure_answer_.has_value()) {
     deliver(*failure_answer_);
