--- a/Source/daemon/caller_request.cpp
+++ b/Source/daemon/caller_request.cpp
@@ -46,6 +46,12 @@
   }
 }
 
+/// Whether a daemon has answered that its target is not there. The word that it is not ready may
+/// reach this daemon much later than the next requests are placed.
+bool says_target_is_gone(const wire::call_answer& answer) {
+  return answer.reason == "target_not_ready" || answer.reason == "target_unreachable";
+}
+
 }  // namespace
 
 caller_request::caller_request(const caller_services& services,
@@ -228,6 +234,9 @@
   std::optional<load_report> load;
   if (outcome.answer.has_value()) {
     load = outcome.answer->load;
+    if (says_target_is_gone(*outcome.answer)) {
+      services_.selector.connection_failed(ended.instance, now);
+    }
   } else if (outcome.reason == call_router::link_lost_reason ||
              outcome.reason == call_router::link_unavailable_reason) {
     services_.selector.connection_failed(ended.instance, now);
