--- a/Benchmarks/load/fake_caller.cpp
+++ b/Benchmarks/load/fake_caller.cpp
@@ -63,7 +63,7 @@
                                                      .work_class = request->work_class});
   const duration delay = one_way_(target);
   one->on_answer = [this, request, raw = std::weak_ptr(one), delay](verdict outcome,
-                                                                    load_report report) {
+                                                                    const load_report& report) {
     events_.after(delay, [this, request, one = raw.lock(), outcome, report] {
       answered(request, one, outcome, report);
     });
