--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -285,7 +285,7 @@
   response.status = answer.status;
   response.headers = {answer.headers.begin(), answer.headers.end()};
   response.body = answer.body.bytes;
-  finish(std::move(response), verdict::ran, "");
+  finish(response, verdict::ran, "");
 }
 
 void outbound_request::refuse(const std::string& reason, duration retry_after) {
@@ -299,14 +299,14 @@
   // The caller comes back on a new connection.
   response.headers["Connection"] = "close";
   response.body = "not run: " + reason + "\n";
-  finish(std::move(response), verdict::not_run, reason);
+  finish(response, verdict::not_run, reason);
 }
 
 void outbound_request::fail(int status, const std::string& reason) {
   http_response response;
   response.status = status;
   response.body = reason + "\n";
-  finish(std::move(response), outcome_so_far_, reason);
+  finish(response, outcome_so_far_, reason);
 }
 
 void outbound_request::log_end(int status, verdict outcome, const std::string& reason,
@@ -333,7 +333,8 @@
   }
 }
 
-void outbound_request::finish(http_response response, verdict outcome, const std::string& reason) {
+void outbound_request::finish(const http_response& response, verdict outcome,
+                              const std::string& reason) {
   if (finished_) {
     return;
   }
