Follow the linter in the test of the HTTP server

Cause: the linter refuses a chain of string additions.

Change: append.

Measured: the linter is clean on Source/{transport,mesh,sidecar}, platform and their tests; transport tests pass.

--- a/Tests/transport/http_server_test.cpp
+++ b/Tests/transport/http_server_test.cpp
@@ -22,7 +22,8 @@
       const std::string body = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
       const http_result result = client.send(method, "/", {}, body);
       INFO(method);
-      CHECK(result.response.body == method + " " + body);
+      std::string expected = method;
+      CHECK(result.response.body == expected.append(" ").append(body));
       CHECK(received.size() == 1);
     }
     CHECK(client.send("GET", "/").response.body == "GET ");
