Serve twins of the sidecar and the transport from one piece each

Cause: a read of the whole change found the same code twice: the bytes of a stream moved to a text in the server and the client, the conversion to timeval, the rule on stated lengths in both readers, the take-over of an answer of the store, the test for success and the reading of a request's id in the gateway (which copied all headers for a log line); an accessor and a constant that nothing uses.

Change: one piece each; the unused ones are removed. Behaviour is the same, no test is changed.

--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -118,11 +118,6 @@
   return best_session(peer) != nullptr;
 }
 
-std::optional<duration> peer_mesh::silence_of(const instance_name& peer) const {
-  const auto session = best_session(peer);
-  return session == nullptr ? std::nullopt : std::optional(session->silence());
-}
-
 std::uint64_t peer_mesh::incarnation_of(const instance_name& peer) const {
   const auto found = incarnations_.find(peer);
   return found == incarnations_.end() ? 0 : found->second;
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -71,8 +71,6 @@
   void announce_version();
 
   [[nodiscard]] bool linked(const instance_name& peer) const;
-  /// Time since anything arrived from a linked peer; nothing if it is not linked.
-  [[nodiscard]] std::optional<duration> silence_of(const instance_name& peer) const;
   /// Incarnation of the process at the other end, as of its latest `hello`; 0 if there was none.
   [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const;
   [[nodiscard]] std::vector<instance_name> linked_peers() const;
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -46,11 +46,7 @@
     call_failed(reading.outcome);
     return;
   }
-  call_answered();
-  revision_ = std::max(revision_, reading.revision);
-  if (reading.configuration.has_value()) {
-    adopt(*reading.configuration, "store");
-  }
+  call_answered(reading);
   next_call_ = shared_.loop.after(settle_time, [this] { watch(); });
 }
 
@@ -75,10 +71,8 @@
     call_failed(reading.outcome);
     return;
   }
-  call_answered();
-  revision_ = std::max(revision_, reading.revision);
+  call_answered(reading);
   if (reading.configuration.has_value()) {
-    adopt(*reading.configuration, "store");
     next_call_ = shared_.loop.after(settle_time, [this] { watch(); });
   } else {
     watch();
@@ -97,11 +91,15 @@
       shared_.loop.after(first_retry_delay + shared_.random.up_to(ceiling), [this] { read(); });
 }
 
-void configuration_follower::call_answered() {
+void configuration_follower::call_answered(const configuration_reading& reading) {
   if (std::exchange(failures_, 0) > 0) {
     shared_.log.info("store_regained", {{"version", version()}});
   }
   shared_.counters.platform_reachable().Set(1);
+  revision_ = std::max(revision_, reading.revision);
+  if (reading.configuration.has_value()) {
+    adopt(*reading.configuration, "store");
+  }
 }
 
 void configuration_follower::adopt(const stored_configuration& found, const std::string& origin) {
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -42,7 +42,7 @@
   void reading_ended(const configuration_reading& reading);
   void watch_ended(const configuration_reading& reading);
   void call_failed(store_outcome outcome);
-  void call_answered();
+  void call_answered(const configuration_reading& reading);
   void adopt(const stored_configuration& found, const std::string& origin);
   void catch_up();
   [[nodiscard]] duration watch_time() const;
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -18,8 +18,6 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
 /// Slots assumed until the first heartbeat tells.
 constexpr std::int32_t discovered_slots = 4;
-/// Connections beyond the slots: for those that a cancelled request has closed a moment ago.
-constexpr std::size_t spare_connections = 4;
 constexpr std::size_t connection_limit = 64;
 /// An idle connection is closed by targets that do not state a time after about 10 s.
 constexpr duration idle_limit = std::chrono::seconds(5);
@@ -37,6 +35,10 @@
   return options;
 }
 
+bool is_success(const http_response& response) {
+  return response.status >= status_success && response.status < status_first_redirect;
+}
+
 }  // namespace
 
 /// One request on its way through the gateway.
@@ -137,9 +139,7 @@
   // A target may still send a second response to an earlier request on the same connection.
   const response_filter answers = [id, name](const http_response& response) {
     const std::string& echoed = header_value(response.headers, name);
-    const bool success =
-        response.status >= status_success && response.status < status_first_redirect;
-    return echoed == id || (echoed.empty() && !success);
+    return echoed == id || (echoed.empty() && !is_success(response));
   };
   one->target_call = target_.send(
       outgoing_request(one), one->deadline - now + last_word_time,
@@ -166,8 +166,7 @@
   if (response.headers.contains(shared_.contract.headers.declined)) {
     return target_exchange::declared_not_run;
   }
-  const bool success = response.status >= status_success && response.status < status_first_redirect;
-  if (!success) {
+  if (!is_success(response)) {
     return target_exchange::failure;
   }
   return response.headers.contains(shared_.contract.headers.seal)
@@ -195,8 +194,7 @@
     value.reason = std::string(to_string(end));
     shared_.log.info(
         "target_exchange_failed",
-        {{"request", header_value({one->request.headers.begin(), one->request.headers.end()},
-                                  shared_.contract.headers.attempt_id)},
+        {{"request", attempt_id_of(one->request)},
          {"end", value.reason},
          {"verdict", std::string(to_string(value.outcome))},
          {"target",
@@ -308,8 +306,8 @@
                    {{"takes_requests", takes},
                     {"target", target.has_value() ? target->announcement.id : std::string()},
                     {"leaving", target.has_value() && target->leaving},
-                    {"waiting", queue_.load().queued},
-                    {"running", queue_.load().slots_in_use}});
+                    {"waiting", queue_.queued()},
+                    {"running", queue_.slots_in_use()}});
   callbacks_.status_changed();
   if (!takes) {
     apply(queue_.refuse_all());
--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -9,16 +9,9 @@
 #include <utility>
 #include <vector>
 
-namespace crocusdoor {
-
-namespace {
+#include "transport/loop_time.h"
 
-timeval to_timeval(duration span) {
-  const auto count = std::max<duration::rep>(span.count(), 0);
-  return {static_cast<time_t>(count / 1'000'000), static_cast<suseconds_t>(count % 1'000'000)};
-}
-
-}  // namespace
+namespace crocusdoor {
 
 namespace detail {
 
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -12,8 +12,10 @@
 #include <utility>
 #include <vector>
 
+#include "transport/loop_time.h"
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
+#include "transport/stream_input.h"
 
 namespace crocusdoor {
 
@@ -22,12 +24,6 @@
 /// An idle connection is given up this long before the server closes it, so that a request does not
 /// cross the close.
 constexpr duration idle_margin = std::chrono::milliseconds(500);
-constexpr std::size_t read_piece_bytes = 16'384;
-
-timeval to_timeval(duration span) {
-  return {static_cast<time_t>(span.count() / 1'000'000),
-          static_cast<suseconds_t>(span.count() % 1'000'000)};
-}
 
 /// Time that the server keeps an idle connection, from its `Keep-Alive` header.
 std::optional<duration> stated_idle_limit(const http_headers& headers) {
@@ -163,12 +159,7 @@
   }
 
   void read_available() {
-    evbuffer* buffer = bufferevent_get_input(stream_);
-    while (evbuffer_get_length(buffer) > 0) {
-      const std::size_t old_size = input_.size();
-      input_.resize(old_size + std::min(evbuffer_get_length(buffer), read_piece_bytes));
-      evbuffer_remove(buffer, input_.data() + old_size, input_.size() - old_size);
-    }
+    append_input(stream_, input_);
     if (call_ == nullptr) {
       // Nobody waits for a response: the bytes belong to no request.
       end(http_outcome::garbled);
--- a/Source/transport/http_framing.cpp
+++ b/Source/transport/http_framing.cpp
@@ -58,6 +58,21 @@
   return headers;
 }
 
+enum class length_statement { clear, ambiguous, unknown_coding };
+
+/// What the headers of a message say about the length of its body. The parser takes one of several
+/// statements and passes over transfer codings that it does not know.
+template <typename Message>
+length_statement stated_length(const Message& message) {
+  const auto codings = message.count(http::field::transfer_encoding);
+  if (codings + message.count(http::field::content_length) > 1) {
+    return length_statement::ambiguous;
+  }
+  const bool known =
+      codings == 0 || boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+  return known ? length_statement::clear : length_statement::unknown_coding;
+}
+
 int refusal_status_for(const boost::beast::error_code& error) {
   if (error == http::error::header_limit) {
     return status_headers_too_large;
@@ -113,21 +128,17 @@
   return read_progress::complete;
 }
 
-/// The parser takes the last of several hosts and passes over transfer codings that it does not
-/// know, so these are checked here.
 bool http_request_reader::accept_headers() {
   const auto& message = parser_->parser.get();
-  const auto codings = message.count(http::field::transfer_encoding);
-  const auto lengths = message.count(http::field::content_length);
-  const bool ambiguous_length = codings + lengths > 1;
+  const detail::length_statement length = detail::stated_length(message);
+  // The parser takes the last of several hosts.
   const bool ambiguous_host = message.count(http::field::host) != 1;
   const std::string_view target(message.target().data(), message.target().size());
-  if (ambiguous_length || ambiguous_host || !target.starts_with('/')) {
+  if (length == detail::length_statement::ambiguous || ambiguous_host || !target.starts_with('/')) {
     refusal_status_ = detail::status_bad_request;
     return false;
   }
-  const auto coding = message[http::field::transfer_encoding];
-  if (codings == 1 && !boost::beast::iequals(coding, "chunked")) {
+  if (length == detail::length_statement::unknown_coding) {
     refusal_status_ = detail::status_not_implemented;
     return false;
   }
@@ -182,13 +193,7 @@
     }
     if (parser.is_header_done() && !headers_were_done) {
       const auto& message = parser.get();
-      const auto codings = message.count(http::field::transfer_encoding);
-      const auto lengths = message.count(http::field::content_length);
-      const bool framed_badly =
-          codings + lengths > 1 ||
-          (codings == 1 &&
-           !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"));
-      if (framed_badly) {
+      if (detail::stated_length(message) != detail::length_statement::clear) {
         return read_progress::refused;
       }
       if (static_cast<int>(message.result_int()) < detail::first_final_status) {
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "transport/socket_options.h"
+#include "transport/stream_input.h"
 #include "transport/tcp_listener.h"
 
 namespace crocusdoor {
@@ -27,8 +28,6 @@
 constexpr std::size_t input_limit_bytes = 65'536;
 /// Idle connections are closed above this number, before descriptors run out.
 constexpr std::size_t connection_limit = 2'000;
-/// Largest piece of one read.
-constexpr std::size_t read_piece_bytes = 16'384;
 
 constexpr int status_request_timeout = 408;
 
@@ -197,15 +196,6 @@
     return evbuffer_get_length(bufferevent_get_input(stream_));
   }
 
-  void take_input() {
-    evbuffer* buffer = bufferevent_get_input(stream_);
-    while (evbuffer_get_length(buffer) > 0) {
-      const std::size_t old_size = input_.size();
-      input_.resize(old_size + std::min(evbuffer_get_length(buffer), read_piece_bytes));
-      evbuffer_remove(buffer, input_.data() + old_size, input_.size() - old_size);
-    }
-  }
-
   void read_available() {
     if (stream_ == nullptr) {
       return;
@@ -220,7 +210,7 @@
       return;
     }
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
-    take_input();
+    append_input(stream_, input_);
     read_request();
   }
 
