Answer what was sent before the end of a stop; keep a target out that left unregistered

Cause 1: at the end of a stop the server closed its listener with connections waiting in the kernel, and closed connections whose bytes were unread or whose first request was on its way. Change: waiting connections are accepted, unread bytes count as a request, and a new connection has 300 ms for its first request.

Cause 2: a leave was acknowledged and forgotten while no target was registered, so a health check or a delayed heartbeat could register the leaving target. Change: target_registry remembers the departure. Test: 'a target that has left before it was known stays out', failed before.

--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -4,7 +4,15 @@
 
 namespace crocusdoor {
 
+/// A start that is not later than the one that has gone.
+bool target_registry::has_departed(const target_announcement& said) const {
+  return departed_.has_value() && said.born_ms <= departed_->born_ms;
+}
+
 announcement_result target_registry::announce(const target_announcement& said, time_point now) {
+  if (has_departed(said)) {
+    return announcement_result::outdated;
+  }
   bool was_leaving = false;
   time_point leaving_since = now;
   if (target_.has_value()) {
@@ -31,7 +39,11 @@
 announcement_result target_registry::withdraw(const std::string& id,
                                               std::optional<std::uint64_t> born_ms,
                                               time_point now) {
-  if (!target_.has_value() || target_->announcement.id != id) {
+  if (!target_.has_value()) {
+    departed_ = departure{id, born_ms.value_or(0)};
+    return announcement_result::accepted;
+  }
+  if (target_->announcement.id != id) {
     return announcement_result::outdated;
   }
   if (born_ms.has_value() && *born_ms < target_->announcement.born_ms) {
@@ -45,7 +57,8 @@
 }
 
 void target_registry::discover(const target_announcement& found) {
-  if (!target_.has_value()) {
+  const bool departed = departed_.has_value() && departed_->id == found.id;
+  if (!target_.has_value() && !departed) {
     target_ = registered_target{found, false, {}, {}};
   }
 }
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -42,10 +42,11 @@
 class target_registry {
  public:
   announcement_result announce(const target_announcement& said, time_point now);
-  /// The target says that it goes. Nothing if another one, or a later start, is known.
+  /// The target says that it goes. Nothing if another one, or a later start, is known. A target that
+  /// is not known yet is remembered as gone: the acknowledgement binds all the same.
   announcement_result withdraw(const std::string& id, std::optional<std::uint64_t> born_ms,
                                time_point now);
-  /// A health check found a target before any heartbeat arrived.
+  /// A health check found a target before any heartbeat arrived. Nothing if it has said that it goes.
   void discover(const target_announcement& found);
   /// The target has answered that it is another one than the one known.
   void forget(const std::string& id);
@@ -56,7 +57,16 @@
   }
 
  private:
+  /// A target that said that it goes while it was not registered.
+  struct departure {
+    std::string id;
+    std::uint64_t born_ms = 0;
+  };
+
+  [[nodiscard]] bool has_departed(const target_announcement& said) const;
+
   std::optional<registered_target> target_;
+  std::optional<departure> departed_;
 };
 
 }  // namespace crocusdoor
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <set>
@@ -29,6 +30,9 @@
 /// Idle connections are closed above this number, before descriptors run out.
 constexpr std::size_t connection_limit = 2'000;
 
+/// A client sends the first request of a new connection within this time.
+constexpr duration first_request_time = std::chrono::milliseconds(300);
+
 constexpr int status_request_timeout = 408;
 
 }  // namespace
@@ -137,16 +141,30 @@
     return text.data();
   }
 
-  [[nodiscard]] bool is_idle() const noexcept { return phase_ == phase::idle; }
-  [[nodiscard]] bool is_active() const noexcept {
-    return phase_ == phase::reading || phase_ == phase::answering;
+  [[nodiscard]] bool is_idle() const {
+    return phase_ == phase::idle && !is_new() && !has_unread_bytes();
+  }
+  [[nodiscard]] bool is_active() const {
+    return phase_ == phase::reading || phase_ == phase::answering ||
+           (phase_ == phase::idle && (is_new() || has_unread_bytes()));
   }
 
  private:
   enum class phase { idle, reading, answering, lingering, closed };
 
+  /// Whether the first request of the connection is still due.
+  [[nodiscard]] bool is_new() const { return !served_ && now() - active_at_ < first_request_time; }
+
+  [[nodiscard]] bool has_unread_bytes() const {
+    char first = 0;
+    return stream_ != nullptr &&
+           (pending_input() > 0 ||
+            recv(bufferevent_getfd(stream_), &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
+  }
+
   void begin_request() {
     phase_ = phase::idle;
+    served_ = true;
     active_at_ = now();
     continue_sent_ = false;
     if (const auto server = server_.lock()) {
@@ -280,6 +298,7 @@
   phase phase_ = phase::idle;
   bool keep_alive_ = true;
   bool continue_sent_ = false;
+  bool served_ = false;  ///< A request of this connection has been answered.
   time_point begun_at_{};
   time_point active_at_{};
   bufferevent* stream_;
@@ -364,6 +383,9 @@
 }
 
 void http_server::stop_accepting() {
+  if (state_->listener != nullptr) {
+    state_->listener->accept_waiting();
+  }
   state_->listener = nullptr;
 }
 
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -74,12 +74,13 @@
   void set_limits(const http_server_limits& limits);
   /// Lets every further answer end its connection.
   void announce_close();
-  /// Accepts no further connections.
+  /// Accepts no connections beyond those that are established now.
   void stop_accepting();
-  /// Closes the connections on which no request is being read or answered.
+  /// Closes the connections on which no request is being read or answered, has arrived unread, or
+  /// is due because the connection is new.
   void close_idle();
 
-  /// Requests that are being read or answered.
+  /// Requests that are being read or answered, or whose connections are new.
   [[nodiscard]] std::size_t active() const;
   [[nodiscard]] std::uint16_t port() const noexcept;
 
--- a/Source/transport/tcp_listener.cpp
+++ b/Source/transport/tcp_listener.cpp
@@ -1,6 +1,7 @@
 #include "transport/tcp_listener.h"
 
 #include <event2/listener.h>
+#include <sys/socket.h>
 
 #include <stdexcept>
 #include <utility>
@@ -46,6 +47,17 @@
   evconnlistener_free(state_->listener);
 }
 
+void tcp_listener::accept_waiting() {
+  const evutil_socket_t listening = evconnlistener_get_fd(state_->listener);
+  for (;;) {
+    const int accepted = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+      return;
+    }
+    state_->accepted(accepted);
+  }
+}
+
 std::uint16_t tcp_listener::port() const noexcept {
   return state_->port;
 }
--- a/Tests/mesh/target_registry_test.cpp
+++ b/Tests/mesh/target_registry_test.cpp
@@ -60,6 +60,40 @@
   }
 }
 
+TEST_CASE("a target that has left before it was known stays out", "[mesh][P7]") {
+  // Failure guarded against: a sidecar that had just started acknowledged a leave, and then found
+  // the leaving target by its health check or by a delayed heartbeat and sent it requests.
+  target_registry registry;
+  REQUIRE(registry.withdraw("a", 100, at(0)) == announcement_result::accepted);
+
+  SECTION("a health check does not bring it back") {
+    registry.discover(announcement("a", 0, 0));
+    CHECK_FALSE(registry.takes_requests());
+  }
+  SECTION("a heartbeat that was sent before does not bring it back") {
+    CHECK(registry.announce(announcement("a", 100, 9), at(1)) == announcement_result::outdated);
+    CHECK_FALSE(registry.takes_requests());
+  }
+  SECTION("an earlier start does not take its place") {
+    CHECK(registry.announce(announcement("z", 50, 9), at(1)) == announcement_result::outdated);
+    CHECK_FALSE(registry.takes_requests());
+  }
+  SECTION("its next start and another target do") {
+    registry.discover(announcement("b", 0, 0));
+    CHECK(registry.takes_requests());
+    CHECK(registry.announce(announcement("a", 200, 1), at(1)) == announcement_result::accepted);
+    CHECK(registry.takes_requests());
+  }
+  SECTION("nor does it come back after its answers showed that it had gone") {
+    REQUIRE(registry.announce(announcement("c", 300, 1), at(1)) == announcement_result::accepted);
+    registry.forget("c");
+    REQUIRE(registry.withdraw("c", 300, at(2)) == announcement_result::accepted);
+    CHECK(registry.announce(announcement("c", 300, 2), at(3)) == announcement_result::outdated);
+    registry.discover(announcement("c", 0, 0));
+    CHECK_FALSE(registry.takes_requests());
+  }
+}
+
 TEST_CASE("a target found by a health check yields to its first heartbeat", "[mesh]") {
   target_registry registry;
   registry.discover(announcement("a", 0, 0));
--- a/Tests/transport/http_server_test.cpp
+++ b/Tests/transport/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "loop_client.h"
+#include "raw_connection.h"
 
 namespace crocusdoor {
 
@@ -60,6 +61,53 @@
   CHECK_FALSE(called);
 }
 
+TEST_CASE("a server that stops accepting answers what callers have sent before", "[P8]") {
+  // Failure guarded against: connections that were established but not accepted yet, or whose bytes
+  // were unread, were closed without an answer at the end of a stop.
+  event_loop loop;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    exchange->respond({200, {}, "done"});
+  });
+  loop_client client(loop, server.port());
+
+  SECTION("a request of a connection that the loop has not accepted yet") {
+    raw_connection caller(server.port());
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.stop_accepting();
+    server.close_idle();
+    CHECK(server.active() == 1);
+    CHECK(client.run_until([&] { return caller.received().find("done") != std::string::npos; }));
+  }
+  SECTION("a request whose bytes wait unread on a kept connection") {
+    raw_connection caller(server.port());
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(client.run_until([&] { return caller.received().find("done") != std::string::npos; }));
+    const std::size_t first = caller.received().size();
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    server.stop_accepting();
+    server.close_idle();
+    CHECK(client.run_until([&] { return caller.received().size() == 2 * first; }));
+  }
+  SECTION("a connection that is kept without a request is closed at once") {
+    raw_connection caller(server.port());
+    caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(client.run_until([&] { return caller.received().find("done") != std::string::npos; }));
+    server.close_idle();
+    CHECK(client.run_until([&] { return caller.at_end(); }));
+  }
+  SECTION("a new connection has a moment to send its first request, and is then closed") {
+    raw_connection caller(server.port());
+    server.stop_accepting();
+    server.close_idle();
+    CHECK(server.active() == 1);
+    CHECK(client.run_until([&] {
+      server.close_idle();
+      return caller.at_end();
+    }));
+    CHECK(server.active() == 0);
+  }
+}
+
 TEST_CASE("a server can close a connection without an answer", "[F2]") {
   event_loop loop;
   http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
