Keep calls in flight to one upstream within the retries that its loss needs

Cause: KNOWN-RED, 'a daemon that falls silent with its links open holds nobody up for long': the silent upstream held 26 of 60 calls, 20 retries were saved up, 6 reads ended as may_have_run. Nothing limited the calls in flight to one upstream. Change: the selector prefers upstreams below a limit, which the daemon sets to the saved-up retries of a link; with all at the limit it sends on as before.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -20,7 +20,14 @@
 
 /// Calls that can be lost with one link: those in the slots and in the queue of its target, which
 /// holds four requests a slot. Retries saved up for such a moment must cover them.
-constexpr double calls_per_slot_on_a_link = 5;
+constexpr std::int32_t calls_per_slot_on_a_link = 5;
+
+selection_policy make_selection_policy(const settings& options) {
+  selection_policy policy;
+  policy.in_flight_limit =
+      static_cast<std::size_t>(calls_per_slot_on_a_link * options.target.slots);
+  return policy;
+}
 
 /// Answers a caller that arrives in the last moments of the process.
 void respond_stopping(http_exchange& exchange) {
@@ -39,7 +46,8 @@
       shared_{loop_, random_, options_, counters_, traces_, start_incarnation()},
       platform_(loop_, {options_.platform.address, options_.platform.port},
                 options_.platform.timeout_ms, options_.platform.connections),
-      selector_({options_.instance.name, options_.instance.domain, options_.instance.region}),
+      selector_({options_.instance.name, options_.instance.domain, options_.instance.region},
+                make_selection_policy(options_)),
       hedges_(hedge_settings{.traffic_share = options_.limits.hedge_percent / 100.0}),
       started_at_(loop_.now()) {
   mesh_ = std::make_unique<peer_mesh>(
@@ -73,7 +81,8 @@
       shared_, *router_, *run_once_, selector_, hedges_,
       [this](const service_name& name) -> retry_budget& {
         const retry_policy policy{.traffic_share = options_.limits.retry_percent / 100.0,
-                                  .burst = calls_per_slot_on_a_link * options_.target.slots};
+                                  .burst = static_cast<double>(calls_per_slot_on_a_link) *
+                                           options_.target.slots};
         return retry_budgets_.try_emplace(name, policy).first->second;
       },
       [this] { return distributor_->current(); }, [this] { return distributor_->ready(); }});
--- a/Source/routing/upstream_selector.cpp
+++ b/Source/routing/upstream_selector.cpp
@@ -244,7 +244,9 @@
   for (const bool accept_avoided : {false, true}) {
     for (std::size_t i = 0; i < service.members.size(); ++i) {
       const member& one = service.members[i];
-      const bool avoided = one.slow || one.tracker.unreachable(now);
+      const bool at_limit =
+          policy_.in_flight_limit > 0 && one.tracker.in_flight() >= policy_.in_flight_limit;
+      const bool avoided = one.slow || one.tracker.unreachable(now) || at_limit;
       if ((avoided && !accept_avoided) || contains(excluded, one.description.instance)) {
         continue;
       }
--- a/Tests/routing/upstream_selector_test.cpp
+++ b/Tests/routing/upstream_selector_test.cpp
@@ -261,6 +261,24 @@
   }
 }
 
+TEST_CASE("no more calls are in flight to one upstream than retries can cover", "[F7]") {
+  // Failure guarded against: a silent upstream held more calls than could be repeated elsewhere when
+  // its link was given up.
+  selection_policy policy;
+  policy.in_flight_limit = 15;
+  calling_process caller({make_upstream(0), make_upstream(1)}, policy);
+  caller.latency["target-0"] = milliseconds(2);
+  caller.call_for(seconds(1));
+  // The faster upstream falls silent and attracts requests until its delay shows.
+  caller.latency["target-0"] = seconds(60);
+  CHECK(caller.call_for(milliseconds(40))["target-0"] <= 15);
+
+  SECTION("but requests are still sent when all upstreams are at the limit") {
+    caller.latency["target-1"] = seconds(60);
+    CHECK(caller.call_for(milliseconds(50)).size() == 2);
+  }
+}
+
 TEST_CASE("a hedge is sent only where it can help", "[M4]") {
   calling_process caller(six_targets());
   caller.call_for(seconds(1));
