--- /dev/null
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -0,0 +1,171 @@
+/// Processor time of what a sidecar does for each request, heartbeat and change of the configuration.
+
+#include <benchmark/benchmark.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "mesh/route_table.h"
+#include "mesh/upstream_pool.h"
+#include "platform/configuration_reader.h"
+#include "wire/message_codec.h"
+
+namespace crocusdoor {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// A configuration as operators write it, with this number of routes.
+std::string make_document(std::int64_t routes) {
+  json document = {{"version", 7},
+                   {"services", json::array()},
+                   {"limits",
+                    {{"maxHeaderBytes", 16'384},
+                     {"maxBodyBytes", 1'000'000},
+                     {"headerTimeoutMs", 3'000},
+                     {"idleTimeoutMs", 15'000}}}};
+  for (std::int64_t i = 0; i < routes; ++i) {
+    const std::string number = std::to_string(i);
+    document["routes"].push_back({{"name", "route-" + number},
+                                  {"host", "host-" + number + ".example"},
+                                  {"pathPrefix", "/path-" + number + "/"},
+                                  {"routeType", "safe"},
+                                  {"timeoutMs", 2'000},
+                                  {"targetLatencyMs", 500},
+                                  {"priority", 1},
+                                  {"service", "statements"},
+                                  {"attempts", 2}});
+  }
+  return document.dump();
+}
+
+wire::envelope make_call(std::size_t body_bytes) {
+  wire::call request;
+  request.id = 7;
+  request.service = service_name("statements");
+  request.method = "POST";
+  request.path = "/statements/landing?trip=1";
+  request.headers = {{"Content-Type", "application/json"},
+                     {"Host", "statements.example"},
+                     {"X-Attempt-Id", "9c41d07be2a35f68"}};
+  request.body = {std::string(body_bytes, 'x')};
+  request.work_class = "statements";
+  return {3, request};
+}
+
+void decode_configuration(benchmark::State& state) {
+  const std::string document = make_document(state.range(0));
+  for (auto _ : state) {
+    handle_failure(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(content, platform::decode_configuration(document));
+          benchmark::DoNotOptimize(content);
+          return {};
+        },
+        [&](const failure& error) { state.SkipWithError(error.message.c_str()); });
+  }
+}
+BENCHMARK(decode_configuration)->Arg(300)->Arg(1'200)->Unit(benchmark::kMillisecond);
+
+void parse_json(benchmark::State& state) {
+  const std::string document = make_document(state.range(0));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(json::parse(document, nullptr, false));
+  }
+}
+BENCHMARK(parse_json)->Arg(1'200)->Unit(benchmark::kMillisecond);
+
+void build_route_table(benchmark::State& state) {
+  const std::string document = make_document(state.range(0));
+  mesh_configuration content;
+  handle_failure(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_ASSIGN(content, platform::decode_configuration(document));
+        return {};
+      },
+      [](const failure&) {});
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(route_table(content));
+  }
+}
+BENCHMARK(build_route_table)->Arg(1'200)->Unit(benchmark::kMillisecond);
+
+void encode_call(benchmark::State& state) {
+  const wire::envelope request = make_call(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(wire::encode(request));
+  }
+}
+BENCHMARK(encode_call)->Arg(0)->Arg(5'000);
+
+void decode_call(benchmark::State& state) {
+  const std::string bytes = wire::encode(make_call(static_cast<std::size_t>(state.range(0))));
+  for (auto _ : state) {
+    handle_failure(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(received, wire::decode(bytes));
+          benchmark::DoNotOptimize(received);
+          return {};
+        },
+        [&](const failure& error) { state.SkipWithError(error.message.c_str()); });
+  }
+}
+BENCHMARK(decode_call)->Arg(0)->Arg(5'000);
+
+wire::envelope make_heartbeat() {
+  wire::heartbeat beat;
+  beat.sequence = 9;
+  load_report load;
+  load.slots = 8;
+  load.slots_in_use = 8;
+  load.wait_ms = {10, 20, 30, 40};
+  beat.load = load;
+  return {3, beat};
+}
+
+void encode_heartbeat(benchmark::State& state) {
+  const wire::envelope beat = make_heartbeat();
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(wire::encode(beat));
+  }
+}
+BENCHMARK(encode_heartbeat);
+
+void decode_heartbeat(benchmark::State& state) {
+  const std::string bytes = wire::encode(make_heartbeat());
+  for (auto _ : state) {
+    handle_failure(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(received, wire::decode(bytes));
+          benchmark::DoNotOptimize(received);
+          return {};
+        },
+        [&](const failure& error) { state.SkipWithError(error.message.c_str()); });
+  }
+  state.counters["bytes"] = static_cast<double>(bytes.size());
+}
+BENCHMARK(decode_heartbeat);
+
+void choose_upstream(benchmark::State& state) {
+  upstream_pool pool{failure_domain("a")};
+  random_source random{1};
+  const time_point now{std::chrono::seconds(100)};
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    pool.set_upstream({instance_name("instance-" + std::to_string(i)),
+                       service_name(i % 2 == 0 ? "statements" : "settlements"),
+                       failure_domain(i % 3 == 0 ? "a" : "b"), 8, true, {}});
+  }
+  const placement_request request{service_name("statements"), "statements", 1, {},
+                                  std::chrono::milliseconds(300), std::chrono::seconds(2)};
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(pool.choose(request, now, random));
+  }
+}
+BENCHMARK(choose_upstream)->Arg(13)->Arg(90)->Arg(300);
+
+}  // namespace
+
+}  // namespace crocusdoor
+
+BENCHMARK_MAIN();
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -97,6 +97,9 @@
   }
   shared_.counters.platform_reachable().Set(1);
   revision_ = std::max(revision_, reading.revision);
+  if (!reading.problem.empty()) {
+    shared_.log.error("configuration_unreadable", {{"peer", "store"}, {"reason", reading.problem}});
+  }
   if (reading.configuration.has_value()) {
     adopt(*reading.configuration, "store");
   }
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -66,6 +66,7 @@
   std::uint64_t revision = 0;  ///< Of the store; the next watch begins here.
   /// Nothing if the configuration has not changed, or cannot be read.
   std::optional<stored_configuration> configuration;
+  std::string problem;  ///< Why an answer or a configuration could not be read.
 };
 
 /// How a daemon is found by others.
--- a/Tests/platform_adapter/contract_test.cpp
+++ b/Tests/platform_adapter/contract_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "platform/configuration_reader.h"
+
 namespace crocusdoor::platform {
 
 namespace {
@@ -102,6 +104,41 @@
   CHECK_FALSE(read(with(document, "\"service\":\"s\",", "")));
   CHECK_FALSE(read(with(document, "\"timeoutMs\":1200,", "")));
   CHECK_FALSE(read(document.substr(0, document.size() / 2)));
+  CHECK_FALSE(read(with(document, "\"limits\"", "\"other\"")));
+  CHECK_FALSE(read(with(document, "\"timeoutMs\":1200", "\"timeoutMs\":-1")));
+  CHECK_FALSE(read(with(document, "\"weight\":90", "\"weight\":\"90\"")));
+  CHECK_FALSE(read("[]"));
+  CHECK_FALSE(read(""));
+
+  SECTION("an answer of the store holds it with its revision") {
+    const std::string object = R"({"metadata":{"name":"main","revision":31},"spec":)" + document + "}";
+    const configuration_reading reading = read_configuration_object(object);
+    CHECK(reading.revision == 31);
+    REQUIRE(reading.configuration.has_value());
+    CHECK(reading.configuration->content == *content);
+    CHECK(read(reading.configuration->document) == *content);
+
+    CHECK(read_configuration_object(with(object, "main", "other")).configuration.has_value() == false);
+    const configuration_reading damaged =
+        read_configuration_object(with(object, "\"unsafe\"", "\"other\""));
+    CHECK(damaged.configuration.has_value() == false);
+    CHECK(damaged.problem == "routes[0].routeType: unknown kind \"other\"");
+    CHECK_FALSE(read_configuration_object("{").problem.empty());
+  }
+  SECTION("of several changes the latest that can be read counts") {
+    const auto event = [&](const std::string& version, const std::string& name) {
+      return R"({"deleted":false,"object":{"metadata":{"name":")" + name + R"("},"spec":)" +
+             with(document, "\"version\":7", "\"version\":" + version) + "}}";
+    };
+    const std::string answer = R"({"storeRevision":40,"events":[)" + event("8", "main") + "," +
+                               event("9", "main") + "," + event("10", "other") + "]}";
+    const configuration_reading reading = read_configuration_events(answer);
+    CHECK(reading.revision == 40);
+    REQUIRE(reading.configuration.has_value());
+    CHECK(reading.configuration->content.version == 9);
+    CHECK(read_configuration_events(R"({"storeRevision":41,"events":[]})").configuration ==
+          std::nullopt);
+  }
 }
 
 }  // namespace crocusdoor::platform
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "platform/configuration_reader.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -24,7 +26,8 @@
 }  // namespace
 
 configuration_reading test_store::reading() const {
-  configuration_reading result{store_outcome::refused, 0, std::nullopt};
+  configuration_reading result;
+  result.outcome = store_outcome::refused;
   if (!contents_.reachable) {
     return result;
   }
@@ -53,7 +56,10 @@
       done(reading());
     } else if (loop_.now() >= end) {
       watch_timer_ = nullptr;
-      done({store_outcome::done, contents_.revision, std::nullopt});
+      configuration_reading unchanged;
+      unchanged.outcome = store_outcome::done;
+      unchanged.revision = contents_.revision;
+      done(unchanged);
     }
   });
 }
