Write to sockets directly, and drop the precise timer

Cause: each write went through the buffer of its stream: two changes of the poll set and a turn of the loop for each. The precise timer cost one system call a turn, and two per request were spent on a client address that nobody uses. Change: write_output sends at once what the socket takes. A WebSocket message leaves in one piece. Test: the tests of transport, sidecar and system; only the known faults fail.

--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -66,7 +66,6 @@
   // Writing to a connection that the peer has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   event_config* configuration = event_config_new();
-  event_config_set_flag(configuration, EVENT_BASE_FLAG_PRECISE_TIMER);
   state_->base = event_base_new_with_config(configuration);
   event_config_free(configuration);
   if (state_->base == nullptr) {
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -16,6 +16,7 @@
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
 #include "transport/stream_input.h"
+#include "transport/stream_output.h"
 
 namespace crocusdoor {
 
@@ -146,7 +147,7 @@
     }
     const std::string bytes = write_request(call_->request, to_string(client->remote));
     written_ = true;
-    bufferevent_write(stream_, bytes.data(), bytes.size());
+    write_output(stream_, bytes);
   }
 
   void connected() {
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -1,12 +1,10 @@
 #include "transport/http_server.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <sys/socket.h>
 
-#include <array>
 #include <set>
 #include <string>
 #include <utility>
@@ -14,6 +12,7 @@
 
 #include "transport/socket_options.h"
 #include "transport/stream_input.h"
+#include "transport/stream_output.h"
 #include "transport/tcp_listener.h"
 
 namespace crocusdoor {
@@ -130,17 +129,6 @@
     }
   }
 
-  [[nodiscard]] std::string client_address() const {
-    sockaddr_in address{};
-    socklen_t length = sizeof(address);
-    std::array<char, INET_ADDRSTRLEN> text{};
-    if (getpeername(bufferevent_getfd(stream_), reinterpret_cast<sockaddr*>(&address), &length) ==
-        0) {
-      inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
-    }
-    return text.data();
-  }
-
   [[nodiscard]] bool is_idle() const {
     return phase_ == phase::idle && !is_new() && !has_unread_bytes();
   }
@@ -185,7 +173,7 @@
     }
   }
 
-  void write(const std::string& bytes) { bufferevent_write(stream_, bytes.data(), bytes.size()); }
+  void write(const std::string& bytes) { write_output(stream_, bytes); }
 
   /// Ends the connection once the output has left.
   void finish_writing() {
@@ -308,9 +296,7 @@
 
 http_exchange::http_exchange(std::shared_ptr<detail::http_server_connection> connection,
                              http_request received)
-    : connection_(std::move(connection)),
-      request_(std::move(received)),
-      client_address_(connection_->client_address()) {}
+    : connection_(std::move(connection)), request_(std::move(received)) {}
 
 http_exchange::~http_exchange() {
   if (!answered_ && !disconnected_) {
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -25,8 +25,6 @@
   http_exchange& operator=(const http_exchange&) = delete;
 
   [[nodiscard]] const http_request& request() const noexcept { return request_; }
-  /// Address of the client, without its port.
-  [[nodiscard]] const std::string& client_address() const noexcept { return client_address_; }
   /// Whether the client has closed its connection; an answer is then dropped.
   [[nodiscard]] bool disconnected() const noexcept { return disconnected_; }
   /// Sends the answer; only the first call has an effect.
@@ -44,7 +42,6 @@
 
   std::shared_ptr<detail::http_server_connection> connection_;
   http_request request_;
-  std::string client_address_;
   bool answered_ = false;
   bool disconnected_ = false;
   std::function<void()> disconnect_action_;
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -10,6 +10,7 @@
 #include "core/error.h"
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
+#include "transport/stream_output.h"
 #include "wire/message_codec.h"
 
 namespace crocusdoor {
@@ -25,12 +26,7 @@
       side_(side),
       callbacks_(std::move(callbacks)),
       session_(side, wire::message_size_limit_bytes,
-               {[this](const char* data, std::size_t size) {
-                  bytes_sent_ += size;
-                  if (connection_ != nullptr) {
-                    bufferevent_write(connection_, data, size);
-                  }
-                },
+               {[this](const char* data, std::size_t size) { unwritten_.append(data, size); },
                 [this] {
                   open_ = true;
                   callbacks_.opened(*this);
@@ -84,6 +80,7 @@
   bufferevent_set_timeouts(connection_, nullptr, nullptr);
   bufferevent_enable(connection_, EV_READ | EV_WRITE);
   session_.start();
+  write_out();
 }
 
 bool peer_link::send(const wire::envelope& value) {
@@ -94,7 +91,18 @@
     close("peer does not read");
     return false;
   }
-  return session_.send(wire::encode(value));
+  const bool accepted = session_.send(wire::encode(value));
+  write_out();
+  return accepted;
+}
+
+/// Writes what the session has produced. A message is produced in several pieces.
+void peer_link::write_out() {
+  if (connection_ != nullptr && !unwritten_.empty()) {
+    bytes_sent_ += unwritten_.size();
+    detail::write_output(connection_, unwritten_);
+  }
+  unwritten_.clear();
 }
 
 void peer_link::close(std::string reason) {
@@ -126,6 +134,7 @@
         reinterpret_cast<const char*>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
     bytes_received_ += size;
     session_.receive(data, size);
+    write_out();
     evbuffer_drain(input, size);
   }
 }
--- a/Source/transport/peer_link.h
+++ b/Source/transport/peer_link.h
@@ -57,6 +57,7 @@
   void attach(bufferevent* connection);
   void connection_ready();
   void read_available();
+  void write_out();
   void deliver(const std::string& payload);
   void finish(const std::string& reason);
 
@@ -71,6 +72,7 @@
   std::shared_ptr<peer_link> self_;
   bool open_ = false;
   bool finishing_ = false;
+  std::string unwritten_;  ///< What the session has produced since the last write.
   std::uint64_t bytes_sent_ = 0;
   std::uint64_t bytes_received_ = 0;
   std::uint64_t refused_messages_ = 0;
