Take a leave that names no start for all starts until now

The leave names no start, was remembered as start 0, and a heartbeat delayed by 2.6 s brought the target back. Change: such a leave covers every start up to the wall time at which it is heard, also for a target that a health check had found. Test: two sections of 'a target that has left before it was known stays out'.

--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -10,10 +10,8 @@
 }
 
 announcement_result target_registry::announce(const target_announcement& said, time_point now) {
-  if (has_departed(said)) {
-    return announcement_result::outdated;
-  }
   bool was_leaving = false;
+  bool same_start = false;
   time_point leaving_since = now;
   if (target_.has_value()) {
     const target_announcement& held = target_->announcement;
@@ -26,49 +24,53 @@
       return announcement_result::repeated;
     }
     // A target that has said it leaves does not come back under the same start.
-    was_leaving = held.born_ms == said.born_ms && held.id == said.id && target_->leaving;
+    same_start = held.born_ms == said.born_ms && held.id == said.id;
+    was_leaving = same_start && target_->leaving;
     if (was_leaving) {
       leaving_since = target_->leaving_since;
     }
   }
-  target_ = registered_target{said, said.draining || was_leaving, leaving_since,
-                              now + said.warmup_left_ms};
+  if (!same_start && has_departed(said)) {
+    return announcement_result::outdated;
+  }
+  const bool leaving = said.draining || was_leaving;
+  target_ = registered_target{said, leaving, leaving_since, now + said.warmup_left_ms};
+  if (leaving) {
+    departed_ = target_departure{said.id, said.born_ms};
+  }
   return announcement_result::accepted;
 }
 
 announcement_result target_registry::withdraw(const std::string& id,
                                               std::optional<std::uint64_t> born_ms,
-                                              time_point now) {
-  if (!target_.has_value()) {
-    departed_ = target_departure{id, born_ms.value_or(0)};
-    return announcement_result::accepted;
-  }
-  if (target_->announcement.id != id) {
-    return announcement_result::outdated;
-  }
-  if (born_ms.has_value() && *born_ms < target_->announcement.born_ms) {
-    return announcement_result::outdated;
-  }
-  if (!target_->leaving) {
-    target_->leaving = true;
-    target_->leaving_since = now;
+                                              std::uint64_t wall_now_ms, time_point now) {
+  std::uint64_t start = born_ms.value_or(wall_now_ms);
+  if (target_.has_value()) {
+    const std::uint64_t held = target_->announcement.born_ms;
+    if (target_->announcement.id != id || (born_ms.has_value() && *born_ms < held)) {
+      return announcement_result::outdated;
+    }
+    // A target that a health check has found has no known start.
+    start = held > 0 ? held : start;
+    if (!target_->leaving) {
+      target_->leaving = true;
+      target_->leaving_since = now;
+    }
   }
+  departed_ = target_departure{id, start};
   return announcement_result::accepted;
 }
 
 void target_registry::recall(const target_departure& known, time_point now) {
-  if (target_.has_value()) {
-    withdraw(known.id, known.born_ms, now);
-  } else if (!departed_.has_value() || departed_->born_ms < known.born_ms) {
-    departed_ = known;
+  const bool registered = target_.has_value() && target_->announcement.id == known.id &&
+                          target_->announcement.born_ms <= known.born_ms;
+  if (registered && !target_->leaving) {
+    target_->leaving = true;
+    target_->leaving_since = now;
   }
-}
-
-std::optional<target_departure> target_registry::departure() const {
-  if (target_.has_value() && target_->leaving) {
-    return target_departure{target_->announcement.id, target_->announcement.born_ms};
+  if (!departed_.has_value() || departed_->born_ms < known.born_ms) {
+    departed_ = known;
   }
-  return departed_;
 }
 
 void target_registry::discover(const target_announcement& found) {
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -41,7 +41,7 @@
 /// gets no new requests, also after a restart of the daemon.
 struct target_departure {
   std::string id;
-  std::uint64_t born_ms = 0;
+  std::uint64_t born_ms = 0;  ///< Starts up to this time have gone.
   friend bool operator==(const target_departure&, const target_departure&) = default;
 };
 
@@ -51,9 +51,10 @@
  public:
   announcement_result announce(const target_announcement& said, time_point now);
   /// The target says that it goes. Nothing if another one, or a later start, is known. A target that
-  /// is not known yet is remembered as gone: the acknowledgement binds all the same.
+  /// is not known yet is remembered as gone: the acknowledgement binds all the same. A target that
+  /// does not say which of its starts goes means any before `wall_now_ms`.
   announcement_result withdraw(const std::string& id, std::optional<std::uint64_t> born_ms,
-                               time_point now);
+                               std::uint64_t wall_now_ms, time_point now);
   /// A health check found a target before any heartbeat arrived. Nothing if it has said that it goes.
   void discover(const target_announcement& found);
   /// A peer has kept the departure from before a restart of this daemon.
@@ -67,13 +68,15 @@
   }
 
   /// The latest departure that this daemon has acknowledged or been told of.
-  [[nodiscard]] std::optional<target_departure> departure() const;
+  [[nodiscard]] const std::optional<target_departure>& departure() const noexcept {
+    return departed_;
+  }
 
  private:
   [[nodiscard]] bool has_departed(const target_announcement& said) const;
 
   std::optional<registered_target> target_;
-  std::optional<target_departure> departed_;  ///< While the target was not registered.
+  std::optional<target_departure> departed_;
 };
 
 }  // namespace crocusdoor
