Refuse links meant for another instance; close three ways to misjudge an attempt

Change: hello names the instance that is dialled; a daemon that finds another one at an address forgets the old one, and the new one removes the old entry from the store. Test: 'an address that another instance has taken over is not used for the old one'.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -65,9 +65,10 @@
 }
 
 void call_router::write(wire::request_id id, waiting_call& one) {
-  const bool written = mesh_.send(one.to, *one.unsent);
-  if (written) {
-    one.unsent.reset();
+  // Taken out first: its outcome is settled here, and a link that opens before the outcome is
+  // delivered must not send it again.
+  const wire::call request = *std::exchange(one.unsent, std::nullopt);
+  if (mesh_.send(one.to, request)) {
     pending_.add(id, process_of(one.to), one.deadline, true);
     return;
   }
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -21,7 +21,7 @@
       settings_(std::move(settings)),
       callbacks_(std::move(callbacks)) {
   context_ = std::make_shared<const peer_session::context>(peer_session::context{
-      loop_, [this] { return intervals(); }, callbacks_.make_hello,
+      loop_, settings_.self, [this] { return intervals(); }, callbacks_.make_hello,
       [this](wire::message content) {
         return wire::envelope{callbacks_.configuration_version(), std::move(content)};
       },
@@ -33,7 +33,12 @@
         callbacks_.version_seen(session->peer(), value.configuration_version);
         dispatcher_.dispatch(session->peer(), value.content);
       },
-      [this](const auto& session, const std::string& reason) { session_ended(session, reason); }});
+      [this](const auto& session, const std::string& reason) { session_ended(session, reason); },
+      [this](const instance_name& dialled) {
+        if (callbacks_.replaced) {
+          callbacks_.replaced(dialled);
+        }
+      }});
   listener_ = std::make_unique<tcp_listener>(
       loop_, settings_.listen,
       [this](std::intptr_t descriptor) { connection_accepted(descriptor); });
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -50,6 +50,8 @@
     std::function<void(const instance_name&)> dial_failed;
     /// A session to a peer has ended while another one goes on.
     std::function<void(const instance_name&)> session_replaced = nullptr;
+    /// The address of an instance belongs to another one now.
+    std::function<void(const instance_name&)> replaced = nullptr;
     /// Load that heartbeats report.
     std::function<std::optional<load_report>()> load = nullptr;
     /// Called for each message before it is dispatched.
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -48,7 +48,11 @@
 
 void peer_session::link_opened() {
   schedule_.heard(shared_->loop.now());
-  send(shared_->make_hello(peer_));
+  wire::hello greeting = shared_->make_hello(peer_);
+  if (!peer_.empty()) {
+    greeting.to = peer_;
+  }
+  send(greeting);
 }
 
 void peer_session::watch_for_hello() {
@@ -96,6 +100,11 @@
 void peer_session::accept_hello(const wire::envelope& value, const wire::hello& greeting) {
   if (!peer_.empty() && peer_ != greeting.self.name) {
     close("expected instance " + peer_.str() + ", found " + greeting.self.name.str());
+    shared_->replaced(peer_);
+    return;
+  }
+  if (greeting.to.value_or(shared_->self) != shared_->self) {
+    close("the link is meant for instance " + greeting.to->str());
     return;
   }
   peer_ = greeting.self.name;
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -19,6 +19,7 @@
  public:
   struct context {
     event_loop& loop;
+    instance_name self;
     /// Times of the heartbeats; the idle interval may depend on the number of links.
     std::function<heartbeat_intervals()> intervals;
     std::function<wire::hello(const instance_name& peer)> make_hello;
@@ -31,6 +32,8 @@
     std::function<void(const std::shared_ptr<peer_session>&, const wire::hello&)> established;
     std::function<void(const std::shared_ptr<peer_session>&, const wire::envelope&)> received;
     std::function<void(const std::shared_ptr<peer_session>&, const std::string& reason)> ended;
+    /// The address of a dialled instance belongs to another one.
+    std::function<void(const instance_name& dialled)> replaced;
   };
 
   [[nodiscard]] static std::shared_ptr<peer_session> connect(
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -49,6 +49,8 @@
     if (!endpoint.has_value()) {
       shared_.log.warning("entry_unreadable",
                           {{"peer", entry.name.str()}, {"endpoint", entry.endpoint}});
+    } else if (entry.name != shared_.self.name && *endpoint == shared_.options.listen.peers) {
+      remove_predecessor(entry.name);
     } else if (entry.name != shared_.self.name) {
       known_[entry.name] = *endpoint;
     }
@@ -66,6 +68,21 @@
   next_call_ = shared_.loop.after(delay, [this, call] { (this->*call)(); });
 }
 
+/// Removes the entry of a daemon that had this daemon's address before and has not removed it itself.
+void peer_finder::remove_predecessor(const instance_name& name) {
+  store_.withdraw_daemon(name, [this, name](store_outcome outcome) {
+    shared_.log.info("predecessor_removed", {{"peer", name.str()},
+                                             {"outcome", std::string(to_string(outcome))}});
+  });
+}
+
+void peer_finder::forget(const instance_name& name) {
+  if (known_.erase(name) > 0) {
+    shared_.log.info("peer_replaced", {{"peer", name.str()}});
+    keep_links();
+  }
+}
+
 void peer_finder::introduce(const instance_name& name, const ip_endpoint& endpoint) {
   known_[name] = endpoint;
   keep_links();
--- a/Source/sidecar/peer_finder.h
+++ b/Source/sidecar/peer_finder.h
@@ -21,6 +21,8 @@
   void withdraw();
   /// A daemon has introduced itself.
   void introduce(const instance_name& name, const ip_endpoint& endpoint);
+  /// The address of a daemon belongs to another one now.
+  void forget(const instance_name& name);
   [[nodiscard]] std::optional<ip_endpoint> find(const instance_name& name) const;
   /// Daemons that are known, including this one.
   [[nodiscard]] std::size_t daemon_count() const noexcept { return known_.size() + 1; }
@@ -33,6 +35,7 @@
   void listing_ended(const daemon_listing& listing);
   void retry(void (peer_finder::*call)());
   void keep_links();
+  void remove_predecessor(const instance_name& name);
 
   const sidecar_context& shared_;
   mesh_store& store_;
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -43,6 +43,9 @@
   [[nodiscard]] std::size_t available_upstreams(const service_name& service) const {
     return upstreams_.available(service);
   }
+  [[nodiscard]] bool knows_peer(const instance_name& name) const {
+    return finder_->find(name).has_value();
+  }
   /// Whether this daemon waits at the store for changes and passes them on.
   [[nodiscard]] bool is_watcher() const;
   [[nodiscard]] const ip_endpoint& peer_endpoint() const { return options_.listen.peers; }
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -118,6 +118,13 @@
     }
   }
 
+  /// Gives up the request that it carries; the connection cannot be used any more. It may still be
+  /// told that it is established before it is destroyed, and must not send the request then.
+  void abandon() {
+    call_ = nullptr;
+    broken_ = true;
+  }
+
   [[nodiscard]] bool busy() const noexcept { return call_ != nullptr; }
   [[nodiscard]] bool written() const noexcept { return written_; }
   [[nodiscard]] const call_pointer& call() const noexcept { return call_; }
@@ -345,6 +352,7 @@
     return false;
   }
   const bool written = connection->written();
+  connection->abandon();
   drop(connection);
   loop.post([self = shared_from_this()] { self->start_waiting(); });
   return written;
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -36,6 +36,9 @@
   instance_record self;
   digest configuration_digest;
   version_number seen_version = 0;  ///< Highest version the sender saw the other end hold.
+  /// Instance that the sender has dialled. Its address may belong to another one by now, which then
+  /// refuses the link. Empty at the end that was dialled.
+  std::optional<instance_name> to;
   friend bool operator==(const hello&, const hello&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -21,7 +21,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("self", &wire::hello::self),
                       required_field("digest", &wire::hello::configuration_digest),
-                      required_field("seen_version", &wire::hello::seen_version));
+                      required_field("seen_version", &wire::hello::seen_version),
+                      optional_field("to", &wire::hello::to));
 };
 
 template <>
