--- a/Benchmarks/sidecar/sidecar_benchmark.cpp
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -1,4 +1,5 @@
-/// Processor time of what a sidecar does for each request, heartbeat and change of the configuration.
+/// Processor time of what a sidecar does for each request, heartbeat and change of the
+/// configuration.
 
 #include <benchmark/benchmark.h>
 
@@ -154,9 +155,12 @@
   for (std::int64_t i = 0; i < state.range(0); ++i) {
     pool.set_upstream({instance_name("instance-" + std::to_string(i)),
                        service_name(i % 2 == 0 ? "statements" : "settlements"),
-                       failure_domain(i % 3 == 0 ? "a" : "b"), 8, true, {}});
+                       failure_domain(i % 3 == 0 ? "a" : "b"),
+                       8,
+                       true,
+                       {}});
   }
-  const placement_request request{service_name("statements"), "statements", 1, {},
+  const placement_request request{service_name("statements"),     "statements",           1, {},
                                   std::chrono::milliseconds(300), std::chrono::seconds(2)};
   for (auto _ : state) {
     benchmark::DoNotOptimize(pool.choose(request, now, random));
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -81,9 +81,9 @@
   caller_services_ = std::make_unique<caller_services>(caller_services{
       shared_, *router_, *run_once_, selector_, hedges_,
       [this](const service_name& name) -> retry_budget& {
-        const retry_policy policy{.traffic_share = options_.limits.retry_percent / 100.0,
-                                  .burst = static_cast<double>(calls_per_slot_on_a_link) *
-                                           options_.target.slots};
+        const retry_policy policy{
+            .traffic_share = options_.limits.retry_percent / 100.0,
+            .burst = static_cast<double>(calls_per_slot_on_a_link) * options_.target.slots};
         return retry_budgets_.try_emplace(name, policy).first->second;
       },
       [this] { return distributor_->current(); }, [this] { return distributor_->ready(); }});
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -51,8 +51,8 @@
 
   bool send(wire::message content);
   void close(const std::string& reason);
-  /// Sends the heartbeat that is due, or closes a session that has fallen silent. Call it at the busy
-  /// interval.
+  /// Sends the heartbeat that is due, or closes a session that has fallen silent. Call it at the
+  /// busy interval.
   void check_heartbeat();
   /// Sends a heartbeat now, so that the other end learns the current version at once.
   void announce_version();
--- a/Source/link/heartbeat_schedule.h
+++ b/Source/link/heartbeat_schedule.h
@@ -13,8 +13,9 @@
 
 /// Decides when one end of a link sends a heartbeat and when it takes the other end as silent.
 ///
-/// Load that it answers: with a link to each of many peers, most links carry little. Heartbeats at the
-/// interval that finds a silent link in time for its requests would then cost more than the requests.
+/// Load that it answers: with a link to each of many peers, most links carry little. Heartbeats at
+/// the interval that finds a silent link in time for its requests would then cost more than the
+/// requests.
 class heartbeat_schedule {
  public:
   explicit heartbeat_schedule(time_point opened)
--- a/Source/mesh/configuration_change.h
+++ b/Source/mesh/configuration_change.h
@@ -34,8 +34,8 @@
 [[nodiscard]] configuration_change change_between(const mesh_configuration& before,
                                                   const mesh_configuration& after);
 
-/// The later version, complete. Fails with `error_code::conflict` if `before` is not the base of the
-/// change, or if the result is not what the sender has.
+/// The later version, complete. Fails with `error_code::conflict` if `before` is not the base of
+/// the change, or if the result is not what the sender has.
 [[nodiscard]] leaf::result<mesh_configuration> apply_change(mesh_configuration before,
                                                             const configuration_change& change);
 
--- a/Source/mesh/mesh_configuration_fields.h
+++ b/Source/mesh/mesh_configuration_fields.h
@@ -19,8 +19,7 @@
   using record = mesh_route;
   static constexpr auto table = std::make_tuple(
       required_field("name", &record::name), required_field("host", &record::host),
-      required_field("prefix", &record::path_prefix),
-      required_field("services", &record::services),
+      required_field("prefix", &record::path_prefix), required_field("services", &record::services),
       required_field("idempotent", &record::idempotent),
       required_field("timeout_ms", &record::timeout_ms),
       required_field("objective_ms", &record::latency_objective_ms),
--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -9,6 +9,8 @@
 
 /// Service time assumed before the first request has finished.
 constexpr duration unknown_service_time = std::chrono::milliseconds(100);
+/// Service times vary: about nine of ten requests take no longer than the median times this.
+constexpr double service_time_margin = 2;
 constexpr duration shortest_retry_after = std::chrono::milliseconds(50);
 /// Ranks whose expected wait is reported; less urgent ones share the last.
 constexpr std::int32_t reported_ranks = 4;
@@ -69,8 +71,11 @@
     refuse(request, slot_refusal::too_late, answered - request.deadline, changes);
     return changes;
   }
-  if (answered > request.objective && !has_free_slot() && !is_short(*work_class)) {
-    refuse(request, slot_refusal::full, answered - request.objective, changes);
+  const time_point answered_mostly =
+      answered +
+      std::chrono::duration_cast<duration>(typical_time(*work_class) * (service_time_margin - 1));
+  if (answered_mostly > request.objective && !has_free_slot() && !is_short(*work_class)) {
+    refuse(request, slot_refusal::full, answered_mostly - request.objective, changes);
     return changes;
   }
   waiting_.emplace(where, waiting_request{request, work_class});
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -50,12 +50,13 @@
 class target_registry {
  public:
   announcement_result announce(const target_announcement& said, time_point now);
-  /// The target says that it goes. Nothing if another one, or a later start, is known. A target that
-  /// is not known yet is remembered as gone: the acknowledgement binds all the same. A target that
-  /// does not say which of its starts goes means any before `wall_now_ms`.
+  /// The target says that it goes. Nothing if another one, or a later start, is known. A target
+  /// that is not known yet is remembered as gone: the acknowledgement binds all the same. A target
+  /// that does not say which of its starts goes means any before `wall_now_ms`.
   announcement_result withdraw(const std::string& id, std::optional<std::uint64_t> born_ms,
                                std::uint64_t wall_now_ms, time_point now);
-  /// A health check found a target before any heartbeat arrived. Nothing if it has said that it goes.
+  /// A health check found a target before any heartbeat arrived. Nothing if it has said that it
+  /// goes.
   void discover(const target_announcement& found);
   /// A peer has kept the departure from before a restart of this daemon.
   void recall(const target_departure& known, time_point now);
--- a/Source/routing/selection_policy.h
+++ b/Source/routing/selection_policy.h
@@ -167,8 +167,8 @@
   duration return_ramp = std::chrono::seconds(2);     ///< From recovery to full weight.
   duration probe_interval = std::chrono::seconds(2);  ///< Between probes of a slow upstream.
   duration spill_hold = std::chrono::seconds(1);  ///< Spilling ends after this time without need.
-  /// Calls in flight to one upstream beyond which others are preferred, 0 for any number. All of them
-  /// must be repeated if the upstream falls silent, so the saved-up retries are a good limit.
+  /// Calls in flight to one upstream beyond which others are preferred, 0 for any number. All of
+  /// them must be repeated if the upstream falls silent, so the saved-up retries are a good limit.
   std::size_t in_flight_limit = 0;
 };
 
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -79,9 +79,8 @@
 
 void configuration_follower::watch(duration wait) {
   pausing_ = false;
-  store_.watch_configuration(revision_, wait, [this](const configuration_reading& reading) {
-    watch_ended(reading);
-  });
+  store_.watch_configuration(
+      revision_, wait, [this](const configuration_reading& reading) { watch_ended(reading); });
 }
 
 void configuration_follower::watch_ended(const configuration_reading& reading) {
@@ -193,9 +192,9 @@
   }
   handle_failure(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_AUTO(content, apply_change(current_ == nullptr ? mesh_configuration()
-                                                                  : current_->content(),
-                                              change));
+        BOOST_LEAF_AUTO(
+            content,
+            apply_change(current_ == nullptr ? mesh_configuration() : current_->content(), change));
         adopt(content, peer.str());
         return {};
       },
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -14,8 +14,8 @@
 ///
 /// A few daemons of each failure domain, its watchers, wait at the platform's store for changes and
 /// pass them on to the others of their domain, so that a change costs the same number of calls with
-/// any number of daemons. The others ask the store seldom, and when they hear of a version that they
-/// have not been given.
+/// any number of daemons. The others ask the store seldom, and when they hear of a version that
+/// they have not been given.
 class configuration_follower {
  public:
   struct handlers {
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -290,9 +290,8 @@
 announcement_result inbound_gateway::withdraw(const target_withdrawal& said) {
   const auto wall_now = std::chrono::duration_cast<std::chrono::milliseconds>(
       event_loop::wall_now().time_since_epoch());
-  const announcement_result result =
-      registry_.withdraw(said.id, said.born_ms, static_cast<std::uint64_t>(wall_now.count()),
-                         shared_.loop.now());
+  const announcement_result result = registry_.withdraw(
+      said.id, said.born_ms, static_cast<std::uint64_t>(wall_now.count()), shared_.loop.now());
   target_changed();
   return result;
 }
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -68,11 +68,12 @@
   next_call_ = shared_.loop.after(delay, [this, call] { (this->*call)(); });
 }
 
-/// Removes the entry of a daemon that had this daemon's address before and has not removed it itself.
+/// Removes the entry of a daemon that had this daemon's address before and has not removed it
+/// itself.
 void peer_finder::remove_predecessor(const instance_name& name) {
   store_.withdraw_daemon(name, [this, name](store_outcome outcome) {
-    shared_.log.info("predecessor_removed", {{"peer", name.str()},
-                                             {"outcome", std::string(to_string(outcome))}});
+    shared_.log.info("predecessor_removed",
+                     {{"peer", name.str()}, {"outcome", std::string(to_string(outcome))}});
   });
 }
 
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -32,7 +32,7 @@
 /// Answers end their connections for this long before idle connections are closed.
 constexpr duration close_notice_time = std::chrono::milliseconds(700);
 /// Left of the time to stop for the last answers to leave.
-constexpr duration stop_reserve = std::chrono::milliseconds(300);
+constexpr duration stop_reserve = std::chrono::milliseconds(600);
 /// Without a request in progress for this long, the last answers have left.
 constexpr duration flush_time = std::chrono::milliseconds(150);
 
@@ -69,8 +69,7 @@
       shared_, *store_,
       configuration_follower::handlers{
           [this](const route_table_pointer& table) { configuration_adopted(table); },
-          [this] { return watcher_count(); },
-          [this] { return is_watcher(); },
+          [this] { return watcher_count(); }, [this] { return is_watcher(); },
           [this](const instance_name& peer) {
             mesh_->send(peer, wire::whole_configuration_request{});
           },
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -145,9 +145,8 @@
 
   [[nodiscard]] bool has_unread_bytes() const {
     char first = 0;
-    return stream_ != nullptr &&
-           (pending_input() > 0 ||
-            recv(bufferevent_getfd(stream_), &first, 1, MSG_PEEK | MSG_DONTWAIT) > 0);
+    return stream_ != nullptr && (pending_input() > 0 || recv(bufferevent_getfd(stream_), &first, 1,
+                                                              MSG_PEEK | MSG_DONTWAIT) > 0);
   }
 
   void begin_request() {
--- a/Tests/link/heartbeat_schedule_test.cpp
+++ b/Tests/link/heartbeat_schedule_test.cpp
@@ -7,8 +7,9 @@
 using namespace std::chrono_literals;
 
 TEST_CASE("heartbeats follow the use of a link", "[F7]") {
-  // Failure guarded against: with 58 links at four heartbeats a second each, heartbeats took half of
-  // the bytes between zones and a seventh of the smallest machines (silvale-mesh-grown, quiet-1).
+  // Failure guarded against: with 58 links at four heartbeats a second each, heartbeats took half
+  // of the bytes between zones and a seventh of the smallest machines (silvale-mesh-grown,
+  // quiet-1).
   const heartbeat_intervals intervals{250ms, 1s, 800ms};
   const time_point opened{1h};
   heartbeat_schedule schedule(opened);
--- a/Tests/mesh/slot_queue_test.cpp
+++ b/Tests/mesh/slot_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 
 #include "core/random_source.h"
@@ -46,12 +47,13 @@
 
   void apply(const slot_changes& changes, time_point now) {
     for (const std::uint64_t ticket : changes.started) {
-      running.emplace(now + service_time, ticket);
+      running.emplace(now + time_of(), ticket);
       order.push_back(ticket);
     }
     refused += static_cast<int>(changes.refused.size());
   }
 
+  std::function<duration()> time_of = [] { return service_time; };
   slot_queue queue;
   std::multimap<time_point, std::uint64_t> running;
   std::map<std::uint64_t, time_point> objectives;
@@ -104,6 +106,29 @@
   CHECK(run.refused + run.in_time + run.late == static_cast<int>(ticket));
 }
 
+TEST_CASE("with service times that vary, most of what is served is still in time", "[mesh][M3]") {
+  // Failure guarded against: a request was admitted if its median service time met the objective,
+  // so half of those that had waited were late, and new ones were refused for them (silvale-mesh,
+  // scale-2: 4,398 of the least urgent requests in time, 5,960 late).
+  constexpr int slots = 10;
+  constexpr duration objective = std::chrono::milliseconds(250);
+  random_source random(7);
+  load_run run(slots);
+  // Half of the median to three times the median; the mean is 100 ms.
+  run.time_of = [&] {
+    const double part = random.fraction();
+    return std::chrono::milliseconds(part < 0.3 ? 40 : part < 0.7 ? 80 : part < 0.9 ? 140 : 240);
+  };
+  std::uint64_t ticket = 0;
+  for (time_point now = start; now < start + std::chrono::seconds(30);) {
+    run.offer(make_request(++ticket, 0, now, objective), now);
+    now += random.exponential(std::chrono::milliseconds(5));
+  }
+  run.finish_until(start + std::chrono::seconds(40));
+  CHECK(run.in_time + run.late >= 3'000 * 90 / 100);
+  CHECK(run.late <= run.in_time / 4);
+}
+
 TEST_CASE("a short request may wait past its objective, up to its deadline", "[mesh]") {
   // Failure guarded against: a call that a running request makes is refused for its short
   // objective, and the work done for its caller is lost.
--- a/Tests/platform_adapter/contract_test.cpp
+++ b/Tests/platform_adapter/contract_test.cpp
@@ -111,13 +111,15 @@
   CHECK_FALSE(read(""));
 
   SECTION("an answer of the store holds it with its revision") {
-    const std::string object = R"({"metadata":{"name":"main","revision":31},"spec":)" + document + "}";
+    const std::string object =
+        R"({"metadata":{"name":"main","revision":31},"spec":)" + document + "}";
     const configuration_reading reading = read_configuration_object(object);
     CHECK(reading.revision == 31);
     REQUIRE(reading.configuration.has_value());
     CHECK(*reading.configuration == *content);
 
-    CHECK(read_configuration_object(with(object, "main", "other")).configuration.has_value() == false);
+    CHECK(read_configuration_object(with(object, "main", "other")).configuration.has_value() ==
+          false);
     const configuration_reading damaged =
         read_configuration_object(with(object, "\"unsafe\"", "\"other\""));
     CHECK(damaged.configuration.has_value() == false);
--- a/Tests/routing/upstream_selector_test.cpp
+++ b/Tests/routing/upstream_selector_test.cpp
@@ -262,8 +262,8 @@
 }
 
 TEST_CASE("no more calls are in flight to one upstream than retries can cover", "[F7]") {
-  // Failure guarded against: a silent upstream held more calls than could be repeated elsewhere when
-  // its link was given up.
+  // Failure guarded against: a silent upstream held more calls than could be repeated elsewhere
+  // when its link was given up.
   selection_policy policy;
   policy.in_flight_limit = 15;
   calling_process caller({make_upstream(0), make_upstream(1)}, policy);
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -35,8 +35,7 @@
   result.revision = contents_.revision;
   handle_failure(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_ASSIGN(result.configuration,
-                          platform::decode_configuration(contents_.document));
+        BOOST_LEAF_ASSIGN(result.configuration, platform::decode_configuration(contents_.document));
         return {};
       },
       [](const failure&) {});
--- a/Tests/sidecar/sidecar_mesh_test.cpp
+++ b/Tests/sidecar/sidecar_mesh_test.cpp
@@ -178,8 +178,8 @@
 
 TEST_CASE("an address that another instance has taken over is not used for the old one",
           "[sidecar][F9]") {
-  // Failure guarded against: peers went on dialling a dead instance at an address that a new one had,
-  // every two seconds; the new one took these links for good and lost requests on them
+  // Failure guarded against: peers went on dialling a dead instance at an address that a new one
+  // had, every two seconds; the new one took these links for good and lost requests on them
   // (crewshare-mesh-grown, trouble-3).
   mesh_fixture mesh;
   test_instance& origin = mesh.add("origin", "other");
@@ -188,13 +188,13 @@
   mesh.store.daemons[instance_name("dead")] = to_string(successor.daemon->peer_endpoint());
   mesh.start();
   CHECK(mesh.run_until([&] { return !mesh.store.daemons.contains(instance_name("dead")); }));
-  CHECK(mesh.run_for(std::chrono::seconds(3), [&] {
-    return !origin.daemon->knows_peer(instance_name("dead"));
-  }));
+  CHECK(mesh.run_for(std::chrono::seconds(3),
+                     [&] { return !origin.daemon->knows_peer(instance_name("dead")); }));
   CHECK(mesh.call(origin, "POST", "/once/", "x").response.status == 200);
 }
 
-TEST_CASE("a change costs the store as many calls with many sidecars as with few", "[sidecar][M8]") {
+TEST_CASE("a change costs the store as many calls with many sidecars as with few",
+          "[sidecar][M8]") {
   // Failure guarded against: every sidecar waited at the store, so each change was read and paid as
   // many times as there were sidecars (silvale-mesh-grown, quiet-1: 1,979 calls of 59 sidecars).
   mesh_fixture mesh;
