--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -24,8 +24,8 @@
 
 selection_policy make_selection_policy(const settings& options) {
   selection_policy policy;
-  policy.in_flight_limit =
-      static_cast<std::size_t>(calls_per_slot_on_a_link * options.target.slots);
+  policy.in_flight_limit = static_cast<std::size_t>(calls_per_slot_on_a_link) *
+                           static_cast<std::size_t>(options.target.slots);
   return policy;
 }
 
