Number the calls of each process anew; replace watchers that stop

Cause 1: an answer between daemons carries the id of its call and not its process. A daemon that had started again counted from 1, so the answer to a call of the process before it could be taken for the answer to another request. Change: ids begin at a number that depends on the start of the process. Test: 'an answer to a request of an earlier process reaches nobody', failed before with the earlier request's body.

Cause 2: a sidecar that stops no longer waits at the store, but its peers went on counting it as a watcher for the seconds of its stop. Change: peers that stop are no candidates. Test: section 'a watcher that stops is replaced before it ends'.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -6,6 +6,17 @@
 
 namespace {
 
+/// Ids that one process can use before those of a later process of the instance may begin.
+constexpr int id_bits_of_process = 24;
+/// Processes of one instance that are told apart by their ids, by the millisecond of their start.
+constexpr std::uint64_t told_apart = 1U << 28U;
+
+/// An answer carries the id of its call alone, so a process must not use ids to which an answer for
+/// the process before it may still arrive.
+wire::request_id first_id_of(std::uint64_t incarnation) {
+  return ((incarnation % told_apart) << id_bits_of_process) + 1;
+}
+
 constexpr duration expiry_interval = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -18,7 +29,8 @@
       mesh_(mesh),
       deliver_locally_(std::move(deliver)),
       cancel_locally_(std::move(cancel)),
-      count_unmatched_(std::move(count_unmatched)) {
+      count_unmatched_(std::move(count_unmatched)),
+      next_id_(first_id_of(self_.incarnation)) {
   message_dispatcher& dispatcher = mesh_.dispatcher();
   dispatcher.on<wire::call_answer>([this](const auto& from, const wire::call_answer& answer) {
     if (const auto outcome = pending_.answer(answer, process_of(from))) {
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -75,7 +75,7 @@
   pending_calls pending_;
   std::map<wire::request_id, waiting_call> calls_;
   std::map<instance_name, std::vector<wire::request_id>> to_query_;
-  wire::request_id next_id_ = 1;
+  wire::request_id next_id_;
   timer_handle timer_;
 };
 
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -260,7 +260,8 @@
     return;
   }
   known = order;
-  domains_[peer] = record.domain;
+  places_[peer] = {record.domain, record.state == instance_state::draining};
+  follower_->watchers_changed();
   upstreams_.set_upstream({peer, record.service, record.domain, record.slots,
                            record.state == instance_state::ready,
                            loop_.now() + record.warmup_left_ms});
@@ -280,7 +281,7 @@
 void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
   log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
-  domains_.erase(peer);
+  places_.erase(peer);
   follower_->watchers_changed();
   upstreams_.remove(peer);
   router_->peer_lost(peer);
@@ -310,8 +311,8 @@
   if (!stopping_) {
     members.push_back(shared_.self.name);
   }
-  for (const auto& [peer, domain] : domains_) {
-    if (domain == options_.instance.domain) {
+  for (const auto& [peer, place] : places_) {
+    if (place.domain == options_.instance.domain && !place.stops) {
       members.push_back(peer);
     }
   }
@@ -324,8 +325,8 @@
 
 std::size_t sidecar_daemon::watcher_count() const {
   std::set<failure_domain> domains{options_.instance.domain};
-  for (const auto& [peer, domain] : domains_) {
-    domains.insert(domain);
+  for (const auto& [peer, place] : places_) {
+    domains.insert(place.domain);
   }
   return domains.size() * watchers_per_domain;
 }
@@ -335,8 +336,8 @@
 void sidecar_daemon::pass_on(const configuration_change* change) {
   const std::vector<instance_name> chosen = watchers();
   const bool first = !chosen.empty() && chosen.front() == shared_.self.name;
-  for (const auto& [peer, domain] : domains_) {
-    const bool same_domain = domain == options_.instance.domain;
+  for (const auto& [peer, place] : places_) {
+    const bool same_domain = place.domain == options_.instance.domain;
     if (same_domain && change != nullptr && !contains(chosen, peer)) {
       mesh_->send(peer, *change);
     } else if (first && !same_domain) {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -95,8 +95,12 @@
   std::unique_ptr<http_server> metrics_server_;
   std::unique_ptr<registration_server> registration_;
   std::map<instance_name, std::pair<std::uint64_t, std::uint64_t>> record_order_;
-  /// Failure domains of the linked peers.
-  std::map<instance_name, failure_domain> domains_;
+  /// Linked peers as far as the spreading of configurations is concerned.
+  struct peer_place {
+    failure_domain domain;
+    bool stops = false;  ///< It is about to end and waits at the store no more.
+  };
+  std::map<instance_name, peer_place> places_;
   /// Latest departure of the target beside each instance, this one included.
   std::map<instance_name, wire::target_departed> departures_;
   std::uint64_t record_sequence_ = 1;
--- a/Tests/sidecar/sidecar_mesh_test.cpp
+++ b/Tests/sidecar/sidecar_mesh_test.cpp
@@ -100,6 +100,35 @@
   }
 }
 
+TEST_CASE("an answer to a request of an earlier process reaches nobody", "[sidecar][P4]") {
+  // Failure guarded against: a daemon that had started again numbered its calls from the beginning,
+  // and took the answer to a call of the process before it for the answer to its own.
+  mesh_fixture mesh;
+  test_instance& origin = mesh.add("origin", "other");
+  test_instance& target = mesh.add("target", "s");
+  mesh.configure(1, "s");
+  mesh.start();
+  std::shared_ptr<http_exchange> first;
+  target.on_request = [&](const auto& exchange) { first = exchange; };
+  origin.caller->send({"POST",
+                       "/once/",
+                       {{"Host", "h.example"}, {"X-Attempt-Id", "old"}, {"X-Deadline-Ms", "2000"}},
+                       "x"},
+                      std::chrono::seconds(2), [](const http_result&) {});
+  REQUIRE(mesh.run_until([&] { return first != nullptr; }));
+
+  origin.restart_daemon();
+  origin.daemon->start();
+  REQUIRE(mesh.run_until([&] {
+    return origin.daemon->ready() && origin.daemon->available_upstreams(service_name("s")) == 1;
+  }));
+  target.on_request = [&](const std::shared_ptr<http_exchange>& exchange) {
+    target.respond(*first, 200, "to the earlier process");
+    mesh.loop.post([&target, exchange] { target.respond(*exchange, 200, "to this process"); });
+  };
+  CHECK(mesh.call(origin, "POST", "/once/", "x").response.body == "to this process");
+}
+
 TEST_CASE("a target that drains gets nothing new once its word is acknowledged", "[sidecar][P7]") {
   mesh_fixture mesh;
   test_instance& origin = mesh.add("origin", "other");
@@ -215,6 +244,16 @@
   // Before a sidecar that was passed over would ask the store itself.
   CHECK(mesh.run_for(std::chrono::milliseconds(500), [&] { return all_have(4); }));
 
+  SECTION("a watcher that stops is replaced before it ends") {
+    const auto watcher = std::find_if(mesh.instances.begin(), mesh.instances.end(),
+                                      [](const auto& one) { return one->daemon->is_watcher(); });
+    (*watcher)->daemon->begin_stop();
+    CHECK(mesh.run_for(std::chrono::seconds(1), [&] {
+      return std::count_if(mesh.instances.begin(), mesh.instances.end(),
+                           [](const auto& one) { return one->daemon->is_watcher(); }) == 2;
+    }));
+    CHECK(mesh.run_for(std::chrono::seconds(1), [&] { return mesh.store.waiting == 2; }));
+  }
   SECTION("when the watchers are gone, others take their place") {
     std::erase_if(mesh.instances, [](const auto& one) { return one->daemon->is_watcher(); });
     REQUIRE(mesh.instances.size() == 4);
