Read the configuration's object where changes came from watchers

Cause: a daemon that is no watcher keeps the revision of its own last call. Its check, and its first watch when it becomes a watcher, would bring all changes since then, 260 KB each with 1,132 routes, over links of 7 Mbit/s and past the limit of 4 MB. Change: it reads the object, and watches from there. Test: a check in 'when the watchers are gone, others take their place'.

--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -59,28 +59,28 @@
   return wait / 2 + shared_.random.up_to(wait / 2);
 }
 
-/// Waits at the store, or leaves that to the watchers.
+/// Waits at the store, or leaves that to the watchers. What they have brought meanwhile would come
+/// again with a watch from the last own revision, so the object is read instead.
 void configuration_follower::follow() {
   pausing_ = !callbacks_.is_watcher();
   if (pausing_) {
     const duration pause = check_interval / 2 + shared_.random.up_to(check_interval);
-    next_call_ = shared_.loop.after(pause, [this] { watch(duration::zero()); });
+    next_call_ = shared_.loop.after(pause, [this] { read(); });
   } else {
-    watch(watch_time());
+    watch();
   }
 }
 
 void configuration_follower::watchers_changed() {
   if (pausing_ && callbacks_.is_watcher()) {
-    next_call_ = nullptr;
-    follow();
+    read();
   }
 }
 
-void configuration_follower::watch(duration wait) {
-  pausing_ = false;
-  store_.watch_configuration(
-      revision_, wait, [this](const configuration_reading& reading) { watch_ended(reading); });
+void configuration_follower::watch() {
+  store_.watch_configuration(revision_, watch_time(), [this](const configuration_reading& reading) {
+    watch_ended(reading);
+  });
 }
 
 void configuration_follower::watch_ended(const configuration_reading& reading) {
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -49,7 +49,7 @@
 
  private:
   void read();
-  void watch(duration wait);
+  void watch();
   void reading_ended(const configuration_reading& reading);
   void watch_ended(const configuration_reading& reading);
   void call_failed(store_outcome outcome);
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -50,6 +50,7 @@
                                      configuration_callback done) {
   const time_point end = loop_.now() + wait;
   ++contents_.waiting;
+  contents_.last_watch_revision = revision;
   watch_timer_ = loop_.every(watch_poll, [this, revision, end, done] {
     if (!contents_.reachable || contents_.revision > revision) {
       watch_timer_ = nullptr;
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -19,7 +19,8 @@
 struct store_contents {
   bool reachable = true;
   std::uint64_t revision = 1;
-  int waiting = 0;  ///< Watches that wait now.
+  int waiting = 0;                        ///< Watches that wait now.
+  std::uint64_t last_watch_revision = 0;  ///< From which the latest watch waits.
   std::string document;
   std::map<instance_name, std::string> daemons;
 };
--- a/Tests/sidecar/sidecar_mesh_test.cpp
+++ b/Tests/sidecar/sidecar_mesh_test.cpp
@@ -259,6 +259,8 @@
     REQUIRE(mesh.instances.size() == 4);
     mesh.store.waiting = 0;
     CHECK(mesh.run_until([&] { return mesh.store.waiting == 2; }));
+    // They do not ask for the changes again that they were given.
+    CHECK(mesh.store.last_watch_revision == mesh.store.revision);
     mesh.configure(6, "s");
     CHECK(mesh.run_until([&] { return all_have(6); }));
   }
