--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -19,6 +19,8 @@
 struct store_contents {
   bool reachable = true;
   std::uint64_t revision = 1;
+  bool lags = false;                      ///< Whether every second client is told of changes later.
+  int reads = 0;                          ///< Of the configuration, watches apart.
   int waiting = 0;                        ///< Watches that wait now.
   std::uint64_t last_watch_revision = 0;  ///< From which the latest watch waits.
   std::string document;
@@ -29,7 +31,8 @@
 /// change.
 class test_store : public mesh_store {
  public:
-  test_store(event_loop& loop, store_contents& contents) : loop_(loop), contents_(contents) {}
+  test_store(event_loop& loop, store_contents& contents, duration lag)
+      : loop_(loop), contents_(contents), lag_(lag) {}
 
   void read_configuration(configuration_callback done) override;
   void watch_configuration(std::uint64_t revision, duration wait,
@@ -43,6 +46,7 @@
 
   event_loop& loop_;
   store_contents& contents_;
+  duration lag_;  ///< From a change until a watch tells it, if the store lags.
   timer_handle watch_timer_;
   std::vector<timer_handle> answers_;
 };
