Revert the choice of one watcher for each sidecar

Seen: its test passed in the whole program (4 of 4 runs) and failed in a process of its own under ctest (six reads of the store instead of none). The test is not reliable and the reads are not explained, so the change is not shown to work.

--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -6,7 +6,6 @@
 #include <set>
 #include <utility>
 
-#include "core/digest.h"
 #include "core/rendezvous_hash.h"
 #include "sidecar/outbound_request.h"
 
@@ -332,14 +331,6 @@
   return domains.size() * watchers_per_domain;
 }
 
-/// Each peer gets its changes from one watcher: two do not see the same versions in a series of
-/// them, so the changes of one do not fit what the other has sent.
-bool sidecar_daemon::passes_to(const std::vector<instance_name>& chosen,
-                               const instance_name& peer) const {
-  return !chosen.empty() && !contains(chosen, peer) &&
-         chosen[stable_hash(peer.str()) % chosen.size()] == shared_.self.name;
-}
-
 /// Gives a version that the store has brought to the own failure domain, and lets all others know
 /// that it exists.
 void sidecar_daemon::pass_on(const configuration_change* change) {
@@ -347,7 +338,7 @@
   const bool first = !chosen.empty() && chosen.front() == shared_.self.name;
   for (const auto& [peer, place] : places_) {
     const bool same_domain = place.domain == options_.instance.domain;
-    if (same_domain && change != nullptr && passes_to(chosen, peer)) {
+    if (same_domain && change != nullptr && !contains(chosen, peer)) {
       mesh_->send(peer, *change);
     } else if (first && !same_domain) {
       mesh_->announce_version(peer);
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -65,9 +65,6 @@
   [[nodiscard]] std::vector<instance_name> watchers() const;
   /// Daemons of all failure domains that wait at the store.
   [[nodiscard]] std::size_t watcher_count() const;
-  /// Whether this daemon, as a watcher, gives changes to a peer.
-  [[nodiscard]] bool passes_to(const std::vector<instance_name>& chosen,
-                               const instance_name& peer) const;
   void pass_on(const configuration_change* change);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
