--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -9,6 +9,13 @@
   return departed_.has_value() && said.born_ms <= departed_->born_ms;
 }
 
+void target_registry::begin_leaving(time_point now) {
+  if (!target_->leaving) {
+    target_->leaving = true;
+    target_->leaving_since = now;
+  }
+}
+
 announcement_result target_registry::announce(const target_announcement& said, time_point now) {
   bool was_leaving = false;
   bool same_start = false;
@@ -52,10 +59,7 @@
     }
     // A target that a health check has found has no known start.
     start = held > 0 ? held : start;
-    if (!target_->leaving) {
-      target_->leaving = true;
-      target_->leaving_since = now;
-    }
+    begin_leaving(now);
   }
   departed_ = target_departure{id, start};
   return announcement_result::accepted;
@@ -64,9 +68,8 @@
 void target_registry::recall(const target_departure& known, time_point now) {
   const bool registered = target_.has_value() && target_->announcement.id == known.id &&
                           target_->announcement.born_ms <= known.born_ms;
-  if (registered && !target_->leaving) {
-    target_->leaving = true;
-    target_->leaving_since = now;
+  if (registered) {
+    begin_leaving(now);
   }
   if (!departed_.has_value() || departed_->born_ms < known.born_ms) {
     departed_ = known;
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -75,6 +75,8 @@
 
  private:
   [[nodiscard]] bool has_departed(const target_announcement& said) const;
+  /// Of the registered target.
+  void begin_leaving(time_point now);
 
   std::optional<registered_target> target_;
   std::optional<target_departure> departed_;
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -126,32 +126,32 @@
   }
 }
 
-void configuration_follower::adopt_from_store(const mesh_configuration& found) {
+void configuration_follower::adopt_from_store(mesh_configuration found) {
   const route_table_pointer before = current_;
-  adopt(found, "store");
+  adopt(std::move(found), "store");
   if (current_ == before) {
     return;
   }
   if (before == nullptr) {
     callbacks_.pass_on(nullptr);
   } else if (callbacks_.is_watcher()) {
-    const configuration_change change = change_between(before->content(), found);
+    const configuration_change change = change_between(before->content(), current_->content());
     callbacks_.pass_on(&change);
   }
 }
 
-void configuration_follower::adopt(const mesh_configuration& found, const std::string& origin) {
+void configuration_follower::adopt(mesh_configuration found, const std::string& origin) {
   if (found.version <= version()) {
     return;
   }
   const std::uint64_t before = version();
-  current_ = std::make_shared<const route_table>(found);
+  current_ = std::make_shared<const route_table>(std::move(found));
   shared_.counters.configuration_version().Set(static_cast<double>(version()));
   shared_.counters.count_adoption("adopted");
   shared_.log.info("configuration_adopted", {{"version", version()},
                                              {"replaces", before},
                                              {"origin", origin},
-                                             {"routes", found.routes.size()}});
+                                             {"routes", current_->content().routes.size()}});
   callbacks_.adopted(current_);
 }
 
@@ -195,7 +195,7 @@
         BOOST_LEAF_AUTO(
             content,
             apply_change(current_ == nullptr ? mesh_configuration() : current_->content(), change));
-        adopt(content, peer.str());
+        adopt(std::move(content), peer.str());
         return {};
       },
       [&](const failure& error) {
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -54,8 +54,8 @@
   void watch_ended(const configuration_reading& reading);
   void call_failed(store_outcome outcome);
   void call_answered(const configuration_reading& reading);
-  void adopt(const mesh_configuration& found, const std::string& origin);
-  void adopt_from_store(const mesh_configuration& found);
+  void adopt(mesh_configuration found, const std::string& origin);
+  void adopt_from_store(mesh_configuration found);
   void follow();
   void catch_up();
   [[nodiscard]] duration watch_time() const;
--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -65,9 +65,7 @@
 event_loop::event_loop() : state_(std::make_unique<state>()) {
   // Writing to a connection that the peer has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  event_config* configuration = event_config_new();
-  state_->base = event_base_new_with_config(configuration);
-  event_config_free(configuration);
+  state_->base = event_base_new();
   if (state_->base == nullptr) {
     throw std::runtime_error("event_base_new failed");
   }
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -134,7 +134,7 @@
   }
   [[nodiscard]] bool is_active() const {
     return phase_ == phase::reading || phase_ == phase::answering ||
-           (phase_ == phase::idle && (is_new() || has_unread_bytes()));
+           (phase_ == phase::idle && !is_idle());
   }
 
  private:
