Log and measure how long a version of a peer is not in force

The logs had the origin of a version only. They could not tell a daemon that had not heard of a version from one that waited to be given it, read the store or asked a peer that had gone, nor late answers of a busy loop from a late version.

version_heard, configuration_catch_up and loop_delayed are new lines; configuration_adopted says for how long the version was known and not in force. Histograms of the lag and of the loop's delay, and a counter of catch-up steps by source, are new metrics.

--- a/Source/core/time.h
+++ b/Source/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace crocusdoor {
 
@@ -23,4 +24,9 @@
 /// Milliseconds since the Unix epoch; comparable between processes up to the clock skew.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Whole milliseconds of a span, for log lines and messages.
+[[nodiscard]] constexpr std::int64_t to_ms(duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 }  // namespace crocusdoor
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -25,6 +25,16 @@
 const prometheus::Histogram::BucketBoundaries latency_boundaries_s = {
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0};
 
+prometheus::Histogram* make_histogram(prometheus::Registry& registry, const std::string& name,
+                                      const std::string& help) {
+  return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+      {}, latency_boundaries_s);
+}
+
+double seconds(duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 }  // namespace
 
 metrics::metrics()
@@ -40,6 +50,13 @@
                           "Claim requests of run-once actions by decision")),
       adoptions_(make_family(registry_, "crocusdoor_configuration_offers_total",
                              "Configuration versions offered to this instance by result")),
+      catch_ups_(make_family(registry_, "crocusdoor_configuration_catch_ups_total",
+                             "Steps to get a version that a peer has, by source")),
+      configuration_lag_(make_histogram(
+          registry_, "crocusdoor_configuration_lag_seconds",
+          "Time from hearing of a newer version to a version at least as new in use")),
+      loop_delay_(make_histogram(registry_, "crocusdoor_loop_delay_seconds",
+                                 "How late a timer of the event loop ran")),
       retries_(make_counter(registry_, "crocusdoor_retries_total", "Calls sent again")),
       hedges_(make_counter(registry_, "crocusdoor_hedges_total", "Second copies of slow calls")),
       unmatched_answers_(make_counter(registry_, "crocusdoor_unmatched_answers_total",
@@ -65,8 +82,7 @@
 }
 
 void metrics::observe_caller_latency(const std::string& service, duration latency) {
-  caller_latency_->Add({{"service", service}}, latency_boundaries_s)
-      .Observe(std::chrono::duration<double>(latency).count());
+  caller_latency_->Add({{"service", service}}, latency_boundaries_s).Observe(seconds(latency));
 }
 
 void metrics::count_refusal(const std::string& reason) {
@@ -81,6 +97,18 @@
   adoptions_->Add({{"result", result}}).Increment();
 }
 
+void metrics::count_catch_up(const std::string& source) {
+  catch_ups_->Add({{"source", source}}).Increment();
+}
+
+void metrics::observe_configuration_lag(duration lag) {
+  configuration_lag_->Observe(seconds(lag));
+}
+
+void metrics::observe_loop_delay(duration delay) {
+  loop_delay_->Observe(seconds(delay));
+}
+
 prometheus::Gauge& metrics::total(const std::string& name, const std::string& help) {
   prometheus::Gauge*& gauge = totals_[name];
   if (gauge == nullptr) {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -26,6 +26,12 @@
   void count_claim(const std::string& decision);
   void count_unmatched_answer() { unmatched_answers_->Increment(); }
   void count_adoption(const std::string& result);
+  /// A step to get a version that a peer has and this daemon has not.
+  void count_catch_up(const std::string& source);
+  /// From hearing of a newer version to a version at least as new in force.
+  void observe_configuration_lag(duration lag);
+  /// How late a timer of the event loop ran.
+  void observe_loop_delay(duration delay);
 
   prometheus::Gauge& configuration_version() { return *configuration_version_; }
   prometheus::Gauge& slots_in_use() { return *slots_in_use_; }
@@ -45,6 +51,9 @@
   prometheus::Family<prometheus::Counter>* refusals_;
   prometheus::Family<prometheus::Counter>* claims_;
   prometheus::Family<prometheus::Counter>* adoptions_;
+  prometheus::Family<prometheus::Counter>* catch_ups_;
+  prometheus::Histogram* configuration_lag_;
+  prometheus::Histogram* loop_delay_;
   prometheus::Counter* retries_;
   prometheus::Counter* hedges_;
   prometheus::Counter* unmatched_answers_;
--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -15,11 +15,6 @@
 /// Ranks whose expected wait is reported; less urgent ones share the last.
 constexpr std::int32_t reported_ranks = 4;
 
-std::int32_t to_ms(duration span) {
-  return static_cast<std::int32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 }  // namespace
 
 duration slot_queue::typical_time(const service_time_estimate& work_class) const {
@@ -159,7 +154,8 @@
   report.service_time_us = history_.mean().count();
   if (!has_free_slot()) {
     for (std::int32_t rank = 0; rank < reported_ranks; ++rank) {
-      report.wait_ms.push_back(to_ms(expected_wait({rank, time_point::max(), arrivals_})));
+      const duration wait = expected_wait({rank, time_point::max(), arrivals_});
+      report.wait_ms.push_back(static_cast<std::int32_t>(to_ms(wait)));
     }
   }
   return report;
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -21,6 +21,8 @@
 constexpr duration longest_watch = std::chrono::seconds(20);
 /// A daemon that is no watcher asks the store this often whether it has missed a change.
 constexpr duration check_interval = std::chrono::seconds(20);
+/// Versions of peers whose wait is measured. The oldest ones have waited longest.
+constexpr std::size_t heard_versions_limit = 64;
 
 }  // namespace
 
@@ -151,14 +153,35 @@
   shared_.log.info("configuration_adopted", {{"version", version()},
                                              {"replaces", before},
                                              {"origin", origin},
+                                             {"behind_ms", to_ms(end_waits())},
                                              {"routes", current_->content().routes.size()}});
   callbacks_.adopted(current_);
 }
 
+void configuration_follower::note_heard(const instance_name& peer, std::uint64_t version) {
+  if (heard_at_.size() < heard_versions_limit) {
+    heard_at_.try_emplace(version, shared_.loop.now());
+  }
+  shared_.log.info("version_heard",
+                   {{"peer", peer.str()}, {"version", version}, {"held", this->version()}});
+}
+
+duration configuration_follower::end_waits() {
+  duration longest{0};
+  while (!heard_at_.empty() && heard_at_.begin()->first <= version()) {
+    const duration lag = shared_.loop.now() - heard_at_.begin()->second;
+    shared_.counters.observe_configuration_lag(lag);
+    longest = std::max(longest, lag);
+    heard_at_.erase(heard_at_.begin());
+  }
+  return longest;
+}
+
 void configuration_follower::version_seen(const instance_name& peer, std::uint64_t version) {
   if (version <= this->version() || version <= version_at_peer_) {
     return;
   }
+  note_heard(peer, version);
   version_at_peer_ = version;
   newer_peer_ = peer;
   if (current_ == nullptr && failures_ > 0) {
@@ -171,7 +194,14 @@
   if (version() >= version_at_peer_) {
     return;
   }
-  if (failures_ > 0 || current_ == nullptr) {
+  const bool ask_peer = failures_ > 0 || current_ == nullptr;
+  shared_.counters.count_catch_up(ask_peer ? "peer" : "store");
+  shared_.log.info("configuration_catch_up", {{"source", ask_peer ? newer_peer_.str() : "store"},
+                                              {"version", version_at_peer_},
+                                              {"held", version()},
+                                              {"store_failures", failures_},
+                                              {"read_outstanding", reading_}});
+  if (ask_peer) {
     callbacks_.request_whole(newer_peer_);
   } else {
     read();
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "mesh/configuration_change.h"
@@ -58,6 +59,9 @@
   void adopt_from_store(mesh_configuration found);
   void follow();
   void catch_up();
+  void note_heard(const instance_name& peer, std::uint64_t version);
+  /// Ends the wait for all versions up to the one in force; returns the longest.
+  duration end_waits();
   [[nodiscard]] duration watch_time() const;
 
   const sidecar_context& shared_;
@@ -70,6 +74,7 @@
   bool pausing_ = false;  ///< Until the next call, as no watcher.
   std::uint64_t version_at_peer_ = 0;
   instance_name newer_peer_;
+  std::map<std::uint64_t, time_point> heard_at_;  ///< Versions of peers that are not in force here.
   timer_handle next_call_;
   timer_handle catch_up_timer_;
 };
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -192,14 +192,13 @@
     value.body.bytes = result.response.body;
   } else {
     value.reason = std::string(to_string(end));
-    shared_.log.info(
-        "target_exchange_failed",
-        {{"request", attempt_id_of(one->request)},
-         {"end", value.reason},
-         {"verdict", std::string(to_string(value.outcome))},
-         {"target",
-          registry_.target().has_value() ? registry_.target()->announcement.id : std::string()},
-         {"ran_ms", (now - one->started_at).count() / 1'000}});
+    shared_.log.info("target_exchange_failed", {{"request", attempt_id_of(one->request)},
+                                                {"end", value.reason},
+                                                {"verdict", std::string(to_string(value.outcome))},
+                                                {"target", registry_.target().has_value()
+                                                               ? registry_.target()->announcement.id
+                                                               : std::string()},
+                                                {"ran_ms", to_ms(now - one->started_at)}});
   }
   failures_.record(end != target_exchange::success, now);
   note_lost_target(end);
@@ -365,7 +364,7 @@
   apply(queue_.expire(now));
   if (registry_.takes_requests() && now - heard_at_ > target_silence_limit) {
     shared_.log.warning("target_silent", {{"target", registry_.target()->announcement.id},
-                                          {"silent_ms", (now - heard_at_).count() / 1'000}});
+                                          {"silent_ms", to_ms(now - heard_at_)}});
     registry_.forget(registry_.target()->announcement.id);
     target_changed();
   }
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -210,7 +210,7 @@
        {"verdict", std::string(to_string(outcome.outcome))},
        {"status", outcome.answer.has_value() ? outcome.answer->status : 0},
        {"reason", outcome.answer.has_value() ? outcome.answer->reason : outcome.reason},
-       {"took_ms", (shared_.loop.now() - ended.sent_at).count() / 1'000}});
+       {"took_ms", to_ms(shared_.loop.now() - ended.sent_at)}});
 }
 
 /// Whether an answer is a failure that another upstream may not have.
@@ -267,10 +267,9 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
-  shared_.log.info("caller_gone",
-                   {{"request", attempt_id_},
-                    {"waited_ms", (shared_.loop.now() - arrived_at_).count() / 1'000},
-                    {"attempts", attempts_.size()}});
+  shared_.log.info("caller_gone", {{"request", attempt_id_},
+                                   {"waited_ms", to_ms(shared_.loop.now() - arrived_at_)},
+                                   {"attempts", attempts_.size()}});
   cancel_attempts();
 }
 
@@ -320,14 +319,14 @@
       {"version", version_},
       {"rank", route_.rank},
       {"objective_ms", route_.latency_objective_ms.count()},
-      {"deadline_ms", (deadline_ - arrived_at_).count() / 1'000},
-      {"expected_ms", expected_.count() / 1'000},
+      {"deadline_ms", to_ms(deadline_ - arrived_at_)},
+      {"expected_ms", to_ms(expected_)},
       {"attempts", attempts_.size()},
       {"upstream", tried_.empty() ? std::string() : tried_.back().str()},
       {"status", status},
       {"verdict", std::string(to_string(outcome))},
       {"reason", reason},
-      {"took_ms", took.count() / 1'000}};
+      {"took_ms", to_ms(took)}};
   if (reason.empty()) {
     shared_.log.info("request_ended", items);
   } else {
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -26,6 +26,10 @@
 /// A daemon that has started opens its links itself; this is for one that cannot.
 constexpr duration passive_dial_delay = std::chrono::milliseconds(600);
 
+constexpr duration loop_delay_interval = std::chrono::milliseconds(100);
+/// A delay that callers notice, and that is logged.
+constexpr duration long_loop_delay = std::chrono::milliseconds(250);
+
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 /// Readiness is asked once a second and callers stay until two answers have failed.
 constexpr duration unready_notice_time = std::chrono::milliseconds(2'300);
@@ -231,6 +235,20 @@
                         {"peers", to_string(options_.listen.peers)}});
   follower_->start();
   finder_->start();
+  measure_loop_delay();
+}
+
+void sidecar_daemon::measure_loop_delay() {
+  const time_point now = loop_.now();
+  if (loop_delay_timer_ != nullptr) {
+    const duration delay = now - loop_delay_due_;
+    counters_.observe_loop_delay(delay);
+    if (delay >= long_loop_delay) {
+      log_.warning("loop_delayed", {{"delay_ms", to_ms(delay)}});
+    }
+  }
+  loop_delay_due_ = now + loop_delay_interval;
+  loop_delay_timer_ = loop_.after(loop_delay_interval, [this] { measure_loop_delay(); });
 }
 
 void sidecar_daemon::reload(const sidecar_settings& options) {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -68,6 +68,7 @@
   void pass_on(const configuration_change* change);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
+  void measure_loop_delay();
   void continue_stop();
   void finish_stop();
   [[nodiscard]] bool idle() const;
@@ -108,6 +109,8 @@
   time_point stop_began_{};
   time_point busy_at_{};  ///< When a request was last in progress during a stop.
   timer_handle stop_timer_;
+  timer_handle loop_delay_timer_;
+  time_point loop_delay_due_{};
 };
 
 }  // namespace crocusdoor
