Close the links of a peer_mesh that is destroyed

Cause: a session lives until its connection has closed, and its handlers hold the peer_mesh by a plain pointer. After the peer_mesh of a daemon was destroyed, its links stayed open and delivered the peers' heartbeats to it. Seen: SIGSEGV in 'a change costs the store as many calls with many sidecars as with few', section 'when the watchers are gone', frame message_dispatcher <- peer_session::message_received of a destroyed sidecar_daemon. Before, the memory had happened to be readable. Processes destroy their daemon only at their end; an embedding program and the tests do so earlier.

Change: the destructor closes all links, and the handlers of sessions do nothing once the peer_mesh is gone.

After: sidecar_tests run to their end.

--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -14,6 +14,15 @@
 
 }  // namespace
 
+template <typename Action>
+auto peer_mesh::while_alive(Action action) const {
+  return [alive = std::weak_ptr(alive_), action](const auto&... arguments) {
+    if (!alive.expired()) {
+      action(arguments...);
+    }
+  };
+}
+
 peer_mesh::peer_mesh(event_loop& loop, random_source& random, configuration settings,
                      handlers callbacks)
     : loop_(loop),
@@ -26,19 +35,21 @@
         return wire::envelope{callbacks_.configuration_version(), std::move(content)};
       },
       callbacks_.configuration_digest, callbacks_.load, settings_.answer_heartbeats,
-      [this](const auto& session, const wire::hello& greeting) {
+      while_alive([this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
-      },
-      [this](const auto& session, const wire::envelope& value) {
+      }),
+      while_alive([this](const auto& session, const wire::envelope& value) {
         callbacks_.version_seen(session->peer(), value.configuration_version);
         dispatcher_.dispatch(session->peer(), value.content);
-      },
-      [this](const auto& session, const std::string& reason) { session_ended(session, reason); },
-      [this](const instance_name& dialled) {
+      }),
+      while_alive([this](const auto& session, const std::string& reason) {
+        session_ended(session, reason);
+      }),
+      while_alive([this](const instance_name& dialled) {
         if (callbacks_.replaced) {
           callbacks_.replaced(dialled);
         }
-      }});
+      })});
   listener_ = std::make_unique<tcp_listener>(
       loop_, settings_.listen,
       [this](std::intptr_t descriptor) { connection_accepted(descriptor); });
@@ -46,6 +57,25 @@
   maintenance_ = loop_.every(maintenance_interval, [this] { maintain_permanent_links(); });
 }
 
+peer_mesh::~peer_mesh() {
+  const session_list open = all_sessions();
+  alive_ = nullptr;
+  for (const auto& session : open) {
+    session->close("this daemon ends");
+  }
+}
+
+peer_mesh::session_list peer_mesh::all_sessions() const {
+  session_list all(anonymous_.begin(), anonymous_.end());
+  for (const auto& [peer, list] : sessions_) {
+    all.insert(all.end(), list.begin(), list.end());
+  }
+  for (const auto& [peer, session] : dialling_) {
+    all.push_back(session);
+  }
+  return all;
+}
+
 heartbeat_intervals peer_mesh::intervals() const {
   const auto links = static_cast<duration::rep>(sessions_.size());
   return {settings_.heartbeat_interval,
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -59,6 +59,10 @@
   };
 
   peer_mesh(event_loop& loop, random_source& random, configuration settings, handlers callbacks);
+  /// Closes all links; no handler is called any more.
+  ~peer_mesh();
+  peer_mesh(const peer_mesh&) = delete;
+  peer_mesh& operator=(const peer_mesh&) = delete;
 
   [[nodiscard]] message_dispatcher& dispatcher() noexcept { return dispatcher_; }
 
@@ -87,6 +91,9 @@
 
  private:
   using session_list = std::vector<std::shared_ptr<peer_session>>;
+  template <typename Action>
+  auto while_alive(Action action) const;
+  [[nodiscard]] session_list all_sessions() const;
   using link_counter = std::uint64_t (peer_link::*)() const noexcept;
 
   std::shared_ptr<peer_session> best_session(const instance_name& peer) const;
@@ -104,6 +111,8 @@
   random_source& random_;
   configuration settings_;
   handlers callbacks_;
+  /// Links live until their connections have closed, which may be after this object.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   message_dispatcher dispatcher_;
   std::shared_ptr<const peer_session::context> context_;
   std::map<instance_name, session_list> sessions_;
