Take the spreading of configurations out of sidecar_daemon

No behaviour changes. Timers come from timer_service, which event_loop is and tests replace by a clock of their own; watcher_group chooses who waits at the store; configuration_exchange joins it with the follower and the messages of peers.

--- /dev/null
+++ b/Source/mesh/watcher_group.cpp
@@ -0,0 +1,58 @@
+#include "mesh/watcher_group.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "core/rendezvous_hash.h"
+
+namespace crocusdoor {
+
+namespace {
+
+/// Key by which the daemons of a failure domain choose their watchers.
+constexpr std::string_view watcher_key = "watch";
+constexpr std::size_t watchers_per_domain = 2;
+
+}  // namespace
+
+void watcher_group::set_member(const instance_name& peer, member description) {
+  members_[peer] = std::move(description);
+}
+
+void watcher_group::remove(const instance_name& peer) {
+  members_.erase(peer);
+}
+
+std::vector<instance_name> watcher_group::watchers() const {
+  std::vector<instance_name> candidates;
+  if (!left_) {
+    candidates.push_back(self_);
+  }
+  for (const auto& [peer, one] : members_) {
+    if (one.domain == own_domain_ && !one.stops) {
+      candidates.push_back(peer);
+    }
+  }
+  return top_by_rendezvous(watcher_key, std::move(candidates), watchers_per_domain);
+}
+
+bool watcher_group::is_watcher() const {
+  const std::vector<instance_name> chosen = watchers();
+  return std::find(chosen.begin(), chosen.end(), self_) != chosen.end();
+}
+
+bool watcher_group::is_first_watcher() const {
+  const std::vector<instance_name> chosen = watchers();
+  return !chosen.empty() && chosen.front() == self_;
+}
+
+std::size_t watcher_group::fleet_watchers() const {
+  std::set<failure_domain> domains{own_domain_};
+  for (const auto& [peer, one] : members_) {
+    domains.insert(one.domain);
+  }
+  return domains.size() * watchers_per_domain;
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/configuration_exchange.cpp
@@ -0,0 +1,62 @@
+#include "sidecar/configuration_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crocusdoor {
+
+configuration_exchange::configuration_exchange(const configuration_context& shared,
+                                               mesh_store& store, watcher_group group,
+                                               handlers callbacks)
+    : group_(std::move(group)),
+      callbacks_(std::move(callbacks)),
+      follower_(shared, store,
+                {callbacks_.adopted, [this] { return group_.fleet_watchers(); },
+                 [this] { return group_.is_watcher(); },
+                 [this](const instance_name& peer) {
+                   callbacks_.send(peer, wire::whole_configuration_request{});
+                 },
+                 [this](const configuration_change* change) { pass_on(change); }}) {}
+
+void configuration_exchange::connect(message_dispatcher& dispatcher) {
+  dispatcher.on<wire::whole_configuration_request>([this](const instance_name& from, const auto&) {
+    if (current() != nullptr) {
+      callbacks_.send(from, wire::whole_configuration{current()->content()});
+    }
+  });
+  dispatcher.on<wire::whole_configuration>([this](const instance_name& from, const auto& held) {
+    follower_.whole_received(from, held.content);
+  });
+  dispatcher.on<configuration_change>([this](const instance_name& from, const auto& change) {
+    follower_.change_received(from, change);
+  });
+}
+
+void configuration_exchange::set_peer(const instance_name& peer,
+                                      watcher_group::member description) {
+  group_.set_member(peer, std::move(description));
+  follower_.watchers_changed();
+}
+
+void configuration_exchange::peer_lost(const instance_name& peer) {
+  group_.remove(peer);
+  follower_.watchers_changed();
+}
+
+/// Gives a version that the store has brought to the own failure domain, and lets all others know
+/// that it exists.
+void configuration_exchange::pass_on(const configuration_change* change) const {
+  const std::vector<instance_name> chosen = group_.watchers();
+  const bool first = group_.is_first_watcher();
+  for (const auto& [peer, one] : group_.members()) {
+    const bool same_domain = one.domain == group_.own_domain();
+    const bool watches = std::find(chosen.begin(), chosen.end(), peer) != chosen.end();
+    if (same_domain && change != nullptr && !watches) {
+      callbacks_.send(peer, *change);
+    } else if (first && !same_domain) {
+      callbacks_.announce_version(peer);
+    }
+  }
+}
+
+}  // namespace crocusdoor
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -26,8 +26,8 @@
 
 }  // namespace
 
-configuration_follower::configuration_follower(const sidecar_context& shared, mesh_store& store,
-                                               handlers callbacks)
+configuration_follower::configuration_follower(const configuration_context& shared,
+                                               mesh_store& store, handlers callbacks)
     : shared_(shared), store_(store), callbacks_(std::move(callbacks)) {}
 
 void configuration_follower::start() {
@@ -52,7 +52,7 @@
     return;
   }
   call_answered(reading);
-  next_call_ = shared_.loop.after(settle_time, [this] { follow(); });
+  next_call_ = shared_.timers.after(settle_time, [this] { follow(); });
 }
 
 duration configuration_follower::watch_time() const {
@@ -67,7 +67,7 @@
   pausing_ = !callbacks_.is_watcher();
   if (pausing_) {
     const duration pause = check_interval / 2 + shared_.random.up_to(check_interval);
-    next_call_ = shared_.loop.after(pause, [this] { read(); });
+    next_call_ = shared_.timers.after(pause, [this] { read(); });
   } else {
     watch();
   }
@@ -96,7 +96,7 @@
   }
   call_answered(reading);
   if (reading.configuration.has_value()) {
-    next_call_ = shared_.loop.after(settle_time, [this] { follow(); });
+    next_call_ = shared_.timers.after(settle_time, [this] { follow(); });
   } else {
     follow();
   }
@@ -111,7 +111,7 @@
   const int doublings = std::min(failures_, doubling_limit);
   const duration ceiling = std::min(first_retry_delay * (1 << doublings), longest_retry_delay);
   next_call_ =
-      shared_.loop.after(first_retry_delay + shared_.random.up_to(ceiling), [this] { read(); });
+      shared_.timers.after(first_retry_delay + shared_.random.up_to(ceiling), [this] { read(); });
 }
 
 void configuration_follower::call_answered(const configuration_reading& reading) {
@@ -160,7 +160,7 @@
 
 void configuration_follower::note_heard(const instance_name& peer, std::uint64_t version) {
   if (heard_at_.size() < heard_versions_limit) {
-    heard_at_.try_emplace(version, shared_.loop.now());
+    heard_at_.try_emplace(version, shared_.timers.now());
   }
   shared_.log.info("version_heard",
                    {{"peer", peer.str()}, {"version", version}, {"held", this->version()}});
@@ -169,7 +169,7 @@
 duration configuration_follower::end_waits() {
   duration longest{0};
   while (!heard_at_.empty() && heard_at_.begin()->first <= version()) {
-    const duration lag = shared_.loop.now() - heard_at_.begin()->second;
+    const duration lag = shared_.timers.now() - heard_at_.begin()->second;
     shared_.counters.observe_configuration_lag(lag);
     longest = std::max(longest, lag);
     heard_at_.erase(heard_at_.begin());
@@ -187,7 +187,7 @@
   if (current_ == nullptr && failures_ > 0) {
     callbacks_.request_whole(peer);
   }
-  catch_up_timer_ = shared_.loop.after(catch_up_delay, [this] { catch_up(); });
+  catch_up_timer_ = shared_.timers.after(catch_up_delay, [this] { catch_up(); });
 }
 
 void configuration_follower::catch_up() {
@@ -207,7 +207,7 @@
     read();
   }
   // The peer may have gone, and the store may have answered with something older.
-  catch_up_timer_ = shared_.loop.after(catch_up_delay, [this] { catch_up(); });
+  catch_up_timer_ = shared_.timers.after(catch_up_delay, [this] { catch_up(); });
 }
 
 void configuration_follower::whole_received(const instance_name& peer,
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -5,12 +5,24 @@
 #include <map>
 #include <string>
 
+#include "core/random_source.h"
+#include "daemon/metrics.h"
 #include "mesh/configuration_change.h"
 #include "mesh/route_table.h"
-#include "sidecar/sidecar_context.h"
+#include "sidecar/decision_log.h"
+#include "sidecar/platform_contract.h"
+#include "transport/timer_service.h"
 
 namespace crocusdoor {
 
+/// What the parts that spread configurations use.
+struct configuration_context {
+  timer_service& timers;
+  random_source& random;
+  decision_log& log;
+  metrics& counters;
+};
+
 /// Keeps the newest configuration that this daemon has seen. Versions only rise within one process.
 ///
 /// A few daemons of each failure domain, its watchers, wait at the platform's store for changes and
@@ -30,7 +42,8 @@
     std::function<void(const configuration_change*)> pass_on;
   };
 
-  configuration_follower(const sidecar_context& shared, mesh_store& store, handlers callbacks);
+  configuration_follower(const configuration_context& shared, mesh_store& store,
+                         handlers callbacks);
 
   void start();
   /// The version in force; null before the first one.
@@ -64,7 +77,7 @@
   duration end_waits();
   [[nodiscard]] duration watch_time() const;
 
-  const sidecar_context& shared_;
+  configuration_context shared_;
   mesh_store& store_;
   handlers callbacks_;
   route_table_pointer current_;
--- a/Source/sidecar/decision_log.cpp
+++ b/Source/sidecar/decision_log.cpp
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-decision_log::decision_log(event_loop& loop, std::string instance,
+decision_log::decision_log(const timer_service& clock, std::string instance,
                            const sidecar_log_settings& settings, int descriptor)
-    : loop_(loop), instance_(std::move(instance)), settings_(settings), descriptor_(descriptor) {
+    : clock_(clock), instance_(std::move(instance)), settings_(settings), descriptor_(descriptor) {
   const int flags = fcntl(descriptor_, F_GETFL);
   if (flags >= 0) {
     fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
@@ -24,7 +24,7 @@
 }
 
 bool decision_log::within_budget(log_level level) {
-  const time_point now = loop_.now();
+  const time_point now = clock_.now();
   if (now - second_began_ >= budget_period) {
     second_began_ = now;
     routine_lines_ = 0;
--- a/Source/sidecar/decision_log.h
+++ b/Source/sidecar/decision_log.h
@@ -25,8 +25,8 @@
 /// errors have a budget of their own, so that routine lines cannot displace them.
 class decision_log {
  public:
-  decision_log(event_loop& loop, std::string instance, const sidecar_log_settings& settings,
-               int descriptor);
+  decision_log(const timer_service& clock, std::string instance,
+               const sidecar_log_settings& settings, int descriptor);
 
   void info(const char* event, std::initializer_list<log_item> items) {
     write(log_level::info, event, items);
@@ -45,7 +45,7 @@
   void write(log_level level, const char* event, std::initializer_list<log_item> items);
   [[nodiscard]] bool within_budget(log_level level);
 
-  event_loop& loop_;
+  const timer_service& clock_;
   std::string instance_;
   sidecar_log_settings settings_;
   int descriptor_;
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -3,10 +3,8 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "core/rendezvous_hash.h"
 #include "sidecar/outbound_request.h"
 
 namespace crocusdoor {
@@ -40,14 +38,6 @@
 /// Without a request in progress for this long, the last answers have left.
 constexpr duration flush_time = std::chrono::milliseconds(150);
 
-/// Key by which the daemons of a failure domain choose their watchers.
-constexpr std::string_view watcher_key = "watch";
-constexpr std::size_t watchers_per_domain = 2;
-
-bool contains(const std::vector<instance_name>& names, const instance_name& name) {
-  return std::find(names.begin(), names.end(), name) != names.end();
-}
-
 std::uint64_t start_incarnation() {
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
@@ -69,15 +59,15 @@
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   finder_ = std::make_unique<peer_finder>(shared_, *store_, *mesh_);
-  follower_ = std::make_unique<configuration_follower>(
-      shared_, *store_,
-      configuration_follower::handlers{
+  configurations_ = std::make_unique<configuration_exchange>(
+      configuration_context{loop_, random_, log_, counters_}, *store_,
+      watcher_group(options_.instance.name, options_.instance.domain),
+      configuration_exchange::handlers{
           [this](const route_table_pointer& table) { configuration_adopted(table); },
-          [this] { return watcher_count(); }, [this] { return is_watcher(); },
-          [this](const instance_name& peer) {
-            mesh_->send(peer, wire::whole_configuration_request{});
+          [this](const instance_name& peer, const wire::message& content) {
+            mesh_->send(peer, content);
           },
-          [this](const configuration_change* change) { pass_on(change); }});
+          [this](const instance_name& peer) { mesh_->announce_version(peer); }});
   gateway_ = std::make_unique<inbound_gateway>(
       shared_, inbound_gateway::handlers{
                    [this](const instance_name& to, const wire::call_answer& answer) {
@@ -92,7 +82,7 @@
                      departure_received({shared_.self.name, departure.id, departure.born_ms});
                      mesh_->send_to_all(departures_.at(shared_.self.name));
                    },
-                   [this] { return follower_->current(); }});
+                   [this] { return configurations_->current(); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
       [this](const wire::call& request) { gateway_->receive(shared_.self.name, request); },
@@ -101,8 +91,8 @@
       },
       [this] { counters_.count_unmatched_answer(); });
   services_ = std::make_unique<outbound_services>(outbound_services{
-      shared_, *router_, upstreams_, rotation_, retries_, [this] { return follower_->current(); },
-      [this] { return finder_->daemon_count(); }});
+      shared_, *router_, upstreams_, rotation_, retries_,
+      [this] { return configurations_->current(); }, [this] { return finder_->daemon_count(); }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
@@ -161,7 +151,7 @@
   callbacks.make_hello = [this](const instance_name&) {
     return wire::hello{self_record(), digest(), 0};
   };
-  callbacks.configuration_version = [this] { return follower_->version(); };
+  callbacks.configuration_version = [this] { return configurations_->version(); };
   callbacks.configuration_digest = [] { return digest(); };
   callbacks.load = [this] { return std::optional(gateway_->load()); };
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
@@ -186,7 +176,7 @@
   };
   callbacks.replaced = [this](const instance_name& peer) { finder_->forget(peer); };
   callbacks.version_seen = [this](const instance_name& peer, version_number version) {
-    follower_->version_seen(peer, version);
+    configurations_->version_seen(peer, version);
   };
   return callbacks;
 }
@@ -214,17 +204,7 @@
       upstreams_.load_reported(from, *beat.load, loop_.now());
     }
   });
-  dispatcher.on<wire::whole_configuration_request>([this](const instance_name& from, const auto&) {
-    if (follower_->current() != nullptr) {
-      mesh_->send(from, wire::whole_configuration{follower_->current()->content()});
-    }
-  });
-  dispatcher.on<wire::whole_configuration>([this](const instance_name& from, const auto& held) {
-    follower_->whole_received(from, held.content);
-  });
-  dispatcher.on<configuration_change>([this](const instance_name& from, const auto& change) {
-    follower_->change_received(from, change);
-  });
+  configurations_->connect(dispatcher);
 }
 
 void sidecar_daemon::start() {
@@ -233,7 +213,7 @@
                         {"domain", options_.instance.domain.str()},
                         {"callers", to_string(options_.listen.callers)},
                         {"peers", to_string(options_.listen.peers)}});
-  follower_->start();
+  configurations_->start();
   finder_->start();
   measure_loop_delay();
 }
@@ -278,8 +258,7 @@
     return;
   }
   known = order;
-  places_[peer] = {record.domain, record.state == instance_state::draining};
-  follower_->watchers_changed();
+  configurations_->set_peer(peer, {record.domain, record.state == instance_state::draining});
   upstreams_.set_upstream({peer, record.service, record.domain, record.slots,
                            record.state == instance_state::ready,
                            loop_.now() + record.warmup_left_ms});
@@ -299,8 +278,7 @@
 void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
   log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
-  places_.erase(peer);
-  follower_->watchers_changed();
+  configurations_->peer_lost(peer);
   upstreams_.remove(peer);
   router_->peer_lost(peer);
 }
@@ -324,48 +302,8 @@
   gateway_->look_for_target();
 }
 
-std::vector<instance_name> sidecar_daemon::watchers() const {
-  std::vector<instance_name> members;
-  if (!stopping_) {
-    members.push_back(shared_.self.name);
-  }
-  for (const auto& [peer, place] : places_) {
-    if (place.domain == options_.instance.domain && !place.stops) {
-      members.push_back(peer);
-    }
-  }
-  return top_by_rendezvous(watcher_key, std::move(members), watchers_per_domain);
-}
-
-bool sidecar_daemon::is_watcher() const {
-  return contains(watchers(), shared_.self.name);
-}
-
-std::size_t sidecar_daemon::watcher_count() const {
-  std::set<failure_domain> domains{options_.instance.domain};
-  for (const auto& [peer, place] : places_) {
-    domains.insert(place.domain);
-  }
-  return domains.size() * watchers_per_domain;
-}
-
-/// Gives a version that the store has brought to the own failure domain, and lets all others know
-/// that it exists.
-void sidecar_daemon::pass_on(const configuration_change* change) {
-  const std::vector<instance_name> chosen = watchers();
-  const bool first = !chosen.empty() && chosen.front() == shared_.self.name;
-  for (const auto& [peer, place] : places_) {
-    const bool same_domain = place.domain == options_.instance.domain;
-    if (same_domain && change != nullptr && !contains(chosen, peer)) {
-      mesh_->send(peer, *change);
-    } else if (first && !same_domain) {
-      mesh_->announce_version(peer);
-    }
-  }
-}
-
 bool sidecar_daemon::ready() const {
-  return !stopping_ && follower_->current() != nullptr &&
+  return !stopping_ && configurations_->current() != nullptr &&
          (finder_->listed() || !mesh_->linked_peers().empty());
 }
 
@@ -397,6 +335,7 @@
   stopping_ = true;
   stop_began_ = loop_.now();
   busy_at_ = stop_began_;
+  configurations_->leave();
   log_.info("stop_began", {{"callers", callers_->active()}, {"running", gateway_->active()}});
   status_changed();
   if (!gateway_->takes_requests()) {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "daemon/peer_mesh.h"
-#include "sidecar/configuration_follower.h"
+#include "sidecar/configuration_exchange.h"
 #include "sidecar/inbound_gateway.h"
 #include "sidecar/outbound_services.h"
 #include "sidecar/peer_finder.h"
@@ -38,7 +38,7 @@
   /// Whether callers may send requests here.
   [[nodiscard]] bool ready() const;
   /// 0 before the first configuration.
-  [[nodiscard]] std::uint64_t configuration_version() const { return follower_->version(); }
+  [[nodiscard]] std::uint64_t configuration_version() const { return configurations_->version(); }
   /// Upstreams of a service that take requests, as this daemon knows them.
   [[nodiscard]] std::size_t available_upstreams(const service_name& service) const {
     return upstreams_.available(service);
@@ -47,7 +47,7 @@
     return finder_->find(name).has_value();
   }
   /// Whether this daemon waits at the store for changes and passes them on.
-  [[nodiscard]] bool is_watcher() const;
+  [[nodiscard]] bool is_watcher() const { return configurations_->is_watcher(); }
   [[nodiscard]] const ip_endpoint& peer_endpoint() const { return options_.listen.peers; }
 
  private:
@@ -61,11 +61,6 @@
   void peer_lost(const instance_name& peer, const std::string& reason);
   void status_changed();
   void configuration_adopted(const route_table_pointer& table);
-  /// The daemons of the own failure domain that wait at the store, by the links that are up.
-  [[nodiscard]] std::vector<instance_name> watchers() const;
-  /// Daemons of all failure domains that wait at the store.
-  [[nodiscard]] std::size_t watcher_count() const;
-  void pass_on(const configuration_change* change);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
   void measure_loop_delay();
@@ -87,7 +82,7 @@
   std::map<service_name, retry_window> retries_;
   std::unique_ptr<peer_mesh> mesh_;
   std::unique_ptr<peer_finder> finder_;
-  std::unique_ptr<configuration_follower> follower_;
+  std::unique_ptr<configuration_exchange> configurations_;
   std::unique_ptr<inbound_gateway> gateway_;
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
@@ -96,12 +91,6 @@
   std::unique_ptr<http_server> metrics_server_;
   std::unique_ptr<registration_server> registration_;
   std::map<instance_name, std::pair<std::uint64_t, std::uint64_t>> record_order_;
-  /// Linked peers as far as the spreading of configurations is concerned.
-  struct peer_place {
-    failure_domain domain;
-    bool stops = false;  ///< It is about to end and waits at the store no more.
-  };
-  std::map<instance_name, peer_place> places_;
   /// Latest departure of the target beside each instance, this one included.
   std::map<instance_name, wire::target_departed> departures_;
   std::uint64_t record_sequence_ = 1;
--- a/Source/transport/event_loop.h
+++ b/Source/transport/event_loop.h
@@ -4,33 +4,25 @@
 #include <memory>
 
 #include "core/time.h"
+#include "transport/timer_service.h"
 
 struct event_base;
 
 namespace crocusdoor {
 
-namespace detail {
-class loop_timer;
-}
-
-/// Keeps a timer scheduled; the timer is cancelled when the last copy of the handle is destroyed.
-using timer_handle = std::shared_ptr<detail::loop_timer>;
-
 /// The one event loop of a process. All callbacks run on the thread that calls `run`.
-class event_loop {
+class event_loop : public timer_service {
  public:
   event_loop();
-  ~event_loop();
+  ~event_loop() override;
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
 
-  [[nodiscard]] time_point now() const;
+  [[nodiscard]] time_point now() const override;
   [[nodiscard]] static wall_time wall_now();
 
-  /// Runs `action` once after `delay`.
-  [[nodiscard]] timer_handle after(duration delay, std::function<void()> action);
-  /// Runs `action` each `interval` until the handle is destroyed.
-  [[nodiscard]] timer_handle every(duration interval, std::function<void()> action);
+  [[nodiscard]] timer_handle after(duration delay, std::function<void()> action) override;
+  [[nodiscard]] timer_handle every(duration interval, std::function<void()> action) override;
   /// Runs `action` in the next turn of the loop.
   void post(std::function<void()> action);
   /// Runs `action` in the loop when the process receives the signal.
