--- /dev/null
+++ b/Tests/sidecar/model_process.cpp
@@ -0,0 +1,92 @@
+#include "model_process.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace crocusdoor {
+
+namespace {
+
+/// Log lines of a run are seen with CROCUSDOOR_MODEL_LOG in the environment.
+sidecar_log_settings model_log_settings() {
+  sidecar_log_settings settings;
+  settings.minimum_level =
+      std::getenv("CROCUSDOOR_MODEL_LOG") == nullptr ? log_level::error : log_level::info;
+  settings.lines_per_s = 10'000;
+  return settings;
+}
+
+}  // namespace
+
+model_process::model_process(surroundings around, instance_name name, failure_domain domain,
+                             std::uint64_t seed)
+    : around_(std::move(around)),
+      name_(std::move(name)),
+      domain_(std::move(domain)),
+      random_(seed) {}
+
+void model_process::start() {
+  end();
+  ++starts_;
+  stopping = false;
+  highest_version_ = 0;
+  timers_ = std::make_unique<process_timers>(around_.timers, random_);
+  log_ = std::make_unique<decision_log>(*timers_, name_.str(), model_log_settings(), STDOUT_FILENO);
+  store_client_ = std::make_unique<model_store_client>(around_.store, *timers_, name_);
+  dispatcher_ = std::make_unique<message_dispatcher>();
+  exchange_ = std::make_unique<configuration_exchange>(
+      configuration_context{*timers_, random_, *log_, counters_}, *store_client_,
+      watcher_group(name_, domain_),
+      configuration_exchange::handlers{[this](const route_table_pointer& table) {
+                                         highest_version_ =
+                                             std::max(highest_version_, table->version());
+                                       },
+                                       around_.send, around_.announce_version});
+  exchange_->connect(*dispatcher_);
+  exchange_->start();
+}
+
+void model_process::end() {
+  exchange_ = nullptr;
+  dispatcher_ = nullptr;
+  store_client_ = nullptr;
+  log_ = nullptr;
+  timers_ = nullptr;
+}
+
+void model_process::freeze_until(time_point when) {
+  if (running()) {
+    timers_->freeze_until(when);
+  }
+}
+
+void model_process::set_lateness(duration longest) {
+  if (running()) {
+    timers_->set_lateness(longest);
+  }
+}
+
+void model_process::run_after(duration delay, std::function<void()> action) {
+  if (running()) {
+    timers_->post(delay, std::move(action));
+  }
+}
+
+void model_process::receive(const instance_name& from, std::uint64_t version,
+                            const wire::message* content) {
+  exchange_->version_seen(from, version);
+  if (content != nullptr) {
+    dispatcher_->dispatch(from, *content);
+  }
+}
+
+void model_process::silence_store_connections() {
+  if (running()) {
+    store_client_->silence_connections();
+  }
+}
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Tests/sidecar/model_process.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "daemon/message_dispatcher.h"
+#include "model_store.h"
+#include "process_timers.h"
+#include "sidecar/configuration_exchange.h"
+
+namespace crocusdoor {
+
+/// One daemon, over its restarts, as far as configurations are concerned.
+class model_process {
+ public:
+  struct surroundings {
+    virtual_timers& timers;
+    model_store& store;
+    std::function<void(const instance_name& to, const wire::message&)> send;
+    std::function<void(const instance_name& to)> announce_version;
+  };
+
+  model_process(surroundings around, instance_name name, failure_domain domain, std::uint64_t seed);
+
+  void start();
+  void end();
+  void freeze_until(time_point when);
+  /// Callbacks run late by up to this.
+  void set_lateness(duration longest);
+  /// Runs in the process after `delay`, unless it has ended until then.
+  void run_after(duration delay, std::function<void()> action);
+  /// A message of a peer that holds this version; nothing if it says no more than that.
+  void receive(const instance_name& from, std::uint64_t version, const wire::message* content);
+  void silence_store_connections();
+
+  [[nodiscard]] const instance_name& name() const { return name_; }
+  [[nodiscard]] const failure_domain& domain() const { return domain_; }
+  [[nodiscard]] bool running() const { return exchange_ != nullptr; }
+  [[nodiscard]] std::uint64_t version() const { return running() ? exchange_->version() : 0; }
+  /// Newest version that has been in force since the start.
+  [[nodiscard]] std::uint64_t highest_version() const { return highest_version_; }
+  [[nodiscard]] configuration_exchange& exchange() { return *exchange_; }
+  [[nodiscard]] int starts() const { return starts_; }
+
+  bool stopping = false;
+
+ private:
+  surroundings around_;
+  instance_name name_;
+  failure_domain domain_;
+  random_source random_;
+  metrics counters_;
+  std::unique_ptr<process_timers> timers_;
+  std::unique_ptr<decision_log> log_;
+  std::unique_ptr<model_store_client> store_client_;
+  std::unique_ptr<message_dispatcher> dispatcher_;
+  std::unique_ptr<configuration_exchange> exchange_;
+  std::uint64_t highest_version_ = 0;
+  int starts_ = 0;
+};
+
+}  // namespace crocusdoor
