Give log lines about the state of the process a budget of their own

So an on-call engineer could not see when a version came into force.

Lines about single requests and lines about the state of the process have budgets of their own now, each by level as before. The new section of 'logging stays within its budget and never blocks' needs the new call, so it did not compile before; it passes now.

--- a/Source/sidecar/decision_log.cpp
+++ b/Source/sidecar/decision_log.cpp
@@ -23,23 +23,24 @@
   }
 }
 
-bool decision_log::within_budget(log_level level) {
+bool decision_log::within_budget(topic about, log_level level) {
   const time_point now = clock_.now();
   if (now - second_began_ >= budget_period) {
     second_began_ = now;
-    routine_lines_ = 0;
-    urgent_lines_ = 0;
+    state_lines_ = {};
+    request_lines_ = {};
   }
-  std::int32_t& lines = level == log_level::info ? routine_lines_ : urgent_lines_;
+  line_counts& counts = about == topic::state ? state_lines_ : request_lines_;
+  std::int32_t& lines = level == log_level::info ? counts.routine : counts.urgent;
   return lines++ < settings_.lines_per_s;
 }
 
-void decision_log::write(log_level level, const char* event,
+void decision_log::write(topic about, log_level level, const char* event,
                          std::initializer_list<log_item> items) {
   if (level < settings_.minimum_level) {
     return;
   }
-  if (!within_budget(level)) {
+  if (!within_budget(about, level)) {
     ++dropped_;
     return;
   }
--- a/Source/sidecar/decision_log.h
+++ b/Source/sidecar/decision_log.h
@@ -21,37 +21,51 @@
 /// changes what the process believes.
 ///
 /// Writing never blocks. Lines beyond the budget of a second, and lines that the reader of standard
-/// output has no room for, are dropped and counted; a later line tells how many. Warnings and
-/// errors have a budget of their own, so that routine lines cannot displace them.
+/// output has no room for, are dropped and counted; a later line tells how many. Lines about single
+/// requests and lines about the state of the process have budgets of their own, and so have
+/// warnings and errors of either, so that the more frequent ones cannot displace the others.
 class decision_log {
  public:
   decision_log(const timer_service& clock, std::string instance,
                const sidecar_log_settings& settings, int descriptor);
 
+  // Lines about the state of the process and what it believes.
   void info(const char* event, std::initializer_list<log_item> items) {
-    write(log_level::info, event, items);
+    write(topic::state, log_level::info, event, items);
   }
   void warning(const char* event, std::initializer_list<log_item> items) {
-    write(log_level::warning, event, items);
+    write(topic::state, log_level::warning, event, items);
   }
   void error(const char* event, std::initializer_list<log_item> items) {
-    write(log_level::error, event, items);
+    write(topic::state, log_level::error, event, items);
+  }
+  /// A line about one request.
+  void request(log_level level, const char* event, std::initializer_list<log_item> items) {
+    write(topic::request, level, event, items);
   }
 
   void configure(const sidecar_log_settings& settings) { settings_ = settings; }
   [[nodiscard]] std::uint64_t dropped() const noexcept { return dropped_; }
 
  private:
-  void write(log_level level, const char* event, std::initializer_list<log_item> items);
-  [[nodiscard]] bool within_budget(log_level level);
+  enum class topic { state, request };
+  /// Lines of the current second.
+  struct line_counts {
+    std::int32_t routine = 0;
+    std::int32_t urgent = 0;
+  };
+
+  void write(topic about, log_level level, const char* event,
+             std::initializer_list<log_item> items);
+  [[nodiscard]] bool within_budget(topic about, log_level level);
 
   const timer_service& clock_;
   std::string instance_;
   sidecar_log_settings settings_;
   int descriptor_;
   time_point second_began_{};
-  std::int32_t routine_lines_ = 0;
-  std::int32_t urgent_lines_ = 0;
+  line_counts state_lines_;
+  line_counts request_lines_;
   std::uint64_t dropped_ = 0;
   std::uint64_t dropped_reported_ = 0;
 };
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -225,11 +225,12 @@
 
 void inbound_gateway::refuse(const work_pointer& one, const std::string& reason,
                              duration retry_after) {
-  shared_.log.info("refused_at_target", {{"request", attempt_id_of(one->request)},
-                                         {"from", one->from.str()},
-                                         {"reason", reason},
-                                         {"slots_in_use", queue_.slots_in_use()},
-                                         {"queued", queue_.queued()}});
+  shared_.log.request(log_level::info, "refused_at_target",
+                      {{"request", attempt_id_of(one->request)},
+                       {"from", one->from.str()},
+                       {"reason", reason},
+                       {"slots_in_use", queue_.slots_in_use()},
+                       {"queued", queue_.queued()}});
   shared_.counters.count_refusal(reason);
   wire::call_answer value;
   value.outcome = verdict::not_run;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -202,8 +202,8 @@
 
 void outbound_request::log_attempt(std::size_t index, const call_outcome& outcome) const {
   const attempt& ended = attempts_[index];
-  shared_.log.info(
-      "attempt_ended",
+  shared_.log.request(
+      log_level::info, "attempt_ended",
       {{"request", attempt_id_},
        {"attempt", index + 1},
        {"upstream", ended.instance.str()},
@@ -267,9 +267,10 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
-  shared_.log.info("caller_gone", {{"request", attempt_id_},
-                                   {"waited_ms", to_ms(shared_.loop.now() - arrived_at_)},
-                                   {"attempts", attempts_.size()}});
+  shared_.log.request(log_level::info, "caller_gone",
+                      {{"request", attempt_id_},
+                       {"waited_ms", to_ms(shared_.loop.now() - arrived_at_)},
+                       {"attempts", attempts_.size()}});
   cancel_attempts();
 }
 
@@ -327,11 +328,8 @@
       {"verdict", std::string(to_string(outcome))},
       {"reason", reason},
       {"took_ms", to_ms(took)}};
-  if (reason.empty()) {
-    shared_.log.info("request_ended", items);
-  } else {
-    shared_.log.warning("request_ended", items);
-  }
+  shared_.log.request(reason.empty() ? log_level::info : log_level::warning, "request_ended",
+                      items);
 }
 
 void outbound_request::finish(const http_response& response, verdict outcome,
--- a/Tests/sidecar/decision_log_test.cpp
+++ b/Tests/sidecar/decision_log_test.cpp
@@ -67,6 +67,17 @@
     CHECK(lines.back()["event"] == "urgent");
     CHECK(lines.back()["lines_dropped"] == 95);
   }
+  SECTION("lines about requests do not displace lines about the state of the process") {
+    decision_log log(loop, "one", {log_level::info, 5}, reader.writing_end());
+    for (int i = 0; i < 100; ++i) {
+      log.request(log_level::info, "request_ended", {});
+      log.request(log_level::warning, "request_ended", {});
+    }
+    log.info("configuration_adopted", {});
+    const auto lines = reader.read_lines();
+    CHECK(lines.size() == 11);
+    CHECK(lines.back()["event"] == "configuration_adopted");
+  }
   SECTION("a reader that does not read costs lines and nothing else") {
     decision_log log(loop, "one", {log_level::info, 100'000}, reader.writing_end());
     const std::string filler(1'000, 'x');
