Fetch a version by when it was heard of, from store and peers in turn

What callers saw: 404 on routes that had been added, and requests at services that they had been moved from, up to 7 s after a version was acknowledged (CONFIG; bound 2 s).

Cause: a daemon that heard of a newer version waited 700 ms for its watchers, and each newer version that it heard of began the wait anew. While versions follow each other faster than that, a daemon whose watchers bring nothing (turned away, slow, cut off, or of another view) never fetched any. The class: a deadline that later events of the same kind put off.

Of the same design: the fetch was one chain, in which a read that hung held up the step that asks a peer until 2.1 s after the version was heard of, and only the first peer with the newest version was ever asked.

Change: version_catch_up decides when and where to fetch, without I/O. The wait runs from the oldest version that is not in force; newer ones do not prolong it. Steps follow each other without waiting for answers: the store while it answers, then peers that hold the newest version, those of the own failure domain first; a peer that is lost is not asked any more.

Why it works: each version heard of has a step at most 700 ms after it was heard of and one each 400 ms after that, whatever else happens.

--- a/Source/sidecar/configuration_exchange.cpp
+++ b/Source/sidecar/configuration_exchange.cpp
@@ -40,9 +40,17 @@
 
 void configuration_exchange::peer_lost(const instance_name& peer) {
   group_.remove(peer);
+  follower_.peer_lost(peer);
   follower_.watchers_changed();
 }
 
+void configuration_exchange::version_seen(const instance_name& peer, std::uint64_t version) {
+  const auto found = group_.members().find(peer);
+  const bool same_domain =
+      found != group_.members().end() && found->second.domain == group_.own_domain();
+  follower_.version_seen(peer, same_domain, version);
+}
+
 /// Gives a version that the store has brought to the own failure domain, and lets all others know
 /// that it exists.
 void configuration_exchange::pass_on(const configuration_change* change) const {
--- a/Source/sidecar/configuration_exchange.h
+++ b/Source/sidecar/configuration_exchange.h
@@ -33,9 +33,7 @@
   void set_peer(const instance_name& peer, watcher_group::member description);
   void peer_lost(const instance_name& peer);
   /// A peer holds this version.
-  void version_seen(const instance_name& peer, std::uint64_t version) {
-    follower_.version_seen(peer, version);
-  }
+  void version_seen(const instance_name& peer, std::uint64_t version);
 
   [[nodiscard]] const route_table_pointer& current() const noexcept { return follower_.current(); }
   [[nodiscard]] std::uint64_t version() const noexcept { return follower_.version(); }
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -12,8 +12,6 @@
 constexpr duration first_retry_delay = std::chrono::milliseconds(200);
 constexpr duration longest_retry_delay = std::chrono::seconds(2);
 constexpr int doubling_limit = 4;
-/// A version that a peer holds and the own watch has not brought after this time is fetched.
-constexpr duration catch_up_delay = std::chrono::milliseconds(700);
 /// The watches of the fleet end one after the other, one in about this time, so that a change is
 /// seen soon by some daemon even if waiting watches have gone silent.
 constexpr duration fleet_watch_spacing = std::chrono::milliseconds(400);
@@ -21,8 +19,6 @@
 constexpr duration longest_watch = std::chrono::seconds(20);
 /// A daemon that is no watcher asks the store this often whether it has missed a change.
 constexpr duration check_interval = std::chrono::seconds(20);
-/// Versions of peers whose wait is measured. The oldest ones have waited longest.
-constexpr std::size_t heard_versions_limit = 64;
 
 }  // namespace
 
@@ -148,66 +144,57 @@
   }
   const std::uint64_t before = version();
   current_ = std::make_shared<const route_table>(std::move(found));
+  const duration lag = catch_up_.in_force(version(), shared_.timers.now());
+  schedule_catch_up();
+  shared_.counters.observe_configuration_lag(lag);
   shared_.counters.configuration_version().Set(static_cast<double>(version()));
   shared_.counters.count_adoption("adopted");
   shared_.log.info("configuration_adopted", {{"version", version()},
                                              {"replaces", before},
                                              {"origin", origin},
-                                             {"behind_ms", to_ms(end_waits())},
+                                             {"behind_ms", to_ms(lag)},
                                              {"routes", current_->content().routes.size()}});
   callbacks_.adopted(current_);
 }
 
-void configuration_follower::note_heard(const instance_name& peer, std::uint64_t version) {
-  if (heard_at_.size() < heard_versions_limit) {
-    heard_at_.try_emplace(version, shared_.timers.now());
+void configuration_follower::version_seen(const instance_name& peer, bool same_domain,
+                                          std::uint64_t version) {
+  if (!catch_up_.peer_holds(peer, same_domain, version, shared_.timers.now())) {
+    return;
   }
   shared_.log.info("version_heard",
                    {{"peer", peer.str()}, {"version", version}, {"held", this->version()}});
+  schedule_catch_up();
 }
 
-duration configuration_follower::end_waits() {
-  duration longest{0};
-  while (!heard_at_.empty() && heard_at_.begin()->first <= version()) {
-    const duration lag = shared_.timers.now() - heard_at_.begin()->second;
-    shared_.counters.observe_configuration_lag(lag);
-    longest = std::max(longest, lag);
-    heard_at_.erase(heard_at_.begin());
-  }
-  return longest;
-}
-
-void configuration_follower::version_seen(const instance_name& peer, std::uint64_t version) {
-  if (version <= this->version() || version <= version_at_peer_) {
+void configuration_follower::schedule_catch_up() {
+  const std::optional<time_point> due = catch_up_.due();
+  if (due == catch_up_due_) {
     return;
   }
-  note_heard(peer, version);
-  version_at_peer_ = version;
-  newer_peer_ = peer;
-  if (current_ == nullptr && failures_ > 0) {
-    callbacks_.request_whole(peer);
+  catch_up_due_ = due;
+  catch_up_timer_ = nullptr;
+  if (due.has_value()) {
+    const duration wait = std::max(*due - shared_.timers.now(), duration::zero());
+    catch_up_timer_ = shared_.timers.after(wait, [this] { catch_up(); });
   }
-  catch_up_timer_ = shared_.timers.after(catch_up_delay, [this] { catch_up(); });
 }
 
 void configuration_follower::catch_up() {
-  if (version() >= version_at_peer_) {
-    return;
-  }
-  const bool ask_peer = failures_ > 0 || current_ == nullptr;
-  shared_.counters.count_catch_up(ask_peer ? "peer" : "store");
-  shared_.log.info("configuration_catch_up", {{"source", ask_peer ? newer_peer_.str() : "store"},
-                                              {"version", version_at_peer_},
-                                              {"held", version()},
-                                              {"store_failures", failures_},
-                                              {"read_outstanding", reading_}});
-  if (ask_peer) {
-    callbacks_.request_whole(newer_peer_);
+  const catch_up_step step = catch_up_.take_step(failures_ == 0, shared_.timers.now());
+  shared_.counters.count_catch_up(step.peer.has_value() ? "peer" : "store");
+  shared_.log.info("configuration_catch_up",
+                   {{"source", step.peer.has_value() ? step.peer->str() : "store"},
+                    {"version", catch_up_.newest()},
+                    {"held", version()},
+                    {"store_failures", failures_},
+                    {"read_outstanding", reading_}});
+  schedule_catch_up();
+  if (step.peer.has_value()) {
+    callbacks_.request_whole(*step.peer);
   } else {
     read();
   }
-  // The peer may have gone, and the store may have answered with something older.
-  catch_up_timer_ = shared_.timers.after(catch_up_delay, [this] { catch_up(); });
 }
 
 void configuration_follower::whole_received(const instance_name& peer,
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -2,13 +2,14 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <optional>
 #include <string>
 
 #include "core/random_source.h"
 #include "daemon/metrics.h"
 #include "mesh/configuration_change.h"
 #include "mesh/route_table.h"
+#include "mesh/version_catch_up.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/platform_contract.h"
 #include "transport/timer_service.h"
@@ -55,7 +56,8 @@
   /// The daemons of the own failure domain have changed, and with them maybe its watchers.
   void watchers_changed();
   /// A peer holds this version.
-  void version_seen(const instance_name& peer, std::uint64_t version);
+  void version_seen(const instance_name& peer, bool same_domain, std::uint64_t version);
+  void peer_lost(const instance_name& peer) { catch_up_.peer_lost(peer); }
   /// A peer has sent the configuration that it holds.
   void whole_received(const instance_name& peer, const mesh_configuration& content);
   /// A watcher has sent what has changed.
@@ -71,10 +73,8 @@
   void adopt(mesh_configuration found, const std::string& origin);
   void adopt_from_store(mesh_configuration found);
   void follow();
+  void schedule_catch_up();
   void catch_up();
-  void note_heard(const instance_name& peer, std::uint64_t version);
-  /// Ends the wait for all versions up to the one in force; returns the longest.
-  duration end_waits();
   [[nodiscard]] duration watch_time() const;
 
   configuration_context shared_;
@@ -85,9 +85,8 @@
   int failures_ = 0;
   bool reading_ = false;
   bool pausing_ = false;  ///< Until the next call, as no watcher.
-  std::uint64_t version_at_peer_ = 0;
-  instance_name newer_peer_;
-  std::map<std::uint64_t, time_point> heard_at_;  ///< Versions of peers that are not in force here.
+  version_catch_up catch_up_;
+  std::optional<time_point> catch_up_due_;
   timer_handle next_call_;
   timer_handle catch_up_timer_;
 };
--- a/Tests/sidecar/configuration_model.cpp
+++ b/Tests/sidecar/configuration_model.cpp
@@ -22,6 +22,10 @@
 constexpr duration other_domain_delay = std::chrono::microseconds(1'400);
 constexpr duration stop_time = seconds(4);
 
+failure_domain domain_name(std::size_t index) {
+  return failure_domain(std::string(1, static_cast<char>('a' + index)));
+}
+
 }  // namespace
 
 configuration_model::configuration_model(std::uint64_t seed) : random_(seed) {
@@ -51,8 +55,8 @@
 
 void configuration_model::add_instance(std::size_t domain, std::size_t number) {
   const std::size_t position = processes_.size();
-  const instance_name name(std::string(1, static_cast<char>('a' + domain)) + "-" +
-                           std::to_string(number) + "-" + random_.identifier().substr(0, 4));
+  const instance_name name(domain_name(domain).str() + "-" + std::to_string(number) + "-" +
+                           random_.identifier().substr(0, 4));
   processes_.push_back(std::make_unique<model_process>(
       model_process::surroundings{
           timers_, store_,
@@ -60,8 +64,7 @@
             deliver(position, to, &content);
           },
           [this, position](const instance_name& to) { deliver(position, to, nullptr); }},
-      name, failure_domain(std::string(1, static_cast<char>('a' + domain))),
-      random_.index(1'000'000'000)));
+      name, domain_name(domain), random_.index(1'000'000'000)));
   positions_[name] = position;
   cut_until_.emplace_back();
   disturbed_until_.emplace_back();
@@ -190,7 +193,6 @@
                                     duration span) {
   troubles_.push_back("the store turns " + std::to_string(instances.size()) + " away");
   for (const std::size_t one : instances) {
-    disturb(one, span);
     store_.set_access(processes_[one]->name(), access);
   }
   timers_.post(span, [this, instances = std::move(instances)] {
@@ -202,7 +204,6 @@
 
 void configuration_model::cut_off(std::size_t instance, duration span) {
   troubles_.push_back("cut off " + processes_[instance]->name().str());
-  disturb(instance, span);
   cut_until_[instance] = std::max(cut_until_[instance], timers_.now() + span);
 }
 
@@ -286,17 +287,24 @@
   timers_.post(span, [this] { store_.set_latency(milliseconds(4)); });
 }
 
-std::vector<std::size_t> configuration_model::watchers_of(std::size_t domain) {
+std::vector<std::size_t> configuration_model::domain(std::size_t index) const {
   std::vector<std::size_t> found;
   for (std::size_t one = 0; one < size(); ++one) {
-    const bool member = processes_[one]->domain().str().front() == static_cast<char>('a' + domain);
-    if (member && processes_[one]->running() && processes_[one]->exchange().is_watcher()) {
+    if (processes_[one]->domain() == domain_name(index)) {
       found.push_back(one);
     }
   }
   return found;
 }
 
+std::vector<std::size_t> configuration_model::watchers_of(std::size_t index) const {
+  std::vector<std::size_t> found = domain(index);
+  std::erase_if(found, [this](std::size_t one) {
+    return !processes_[one]->running() || !processes_[one]->exchange().is_watcher();
+  });
+  return found;
+}
+
 std::size_t configuration_model::any_instance() {
   return random_.index(size());
 }
@@ -388,8 +396,29 @@
   run_for(seconds(4));
 }
 
+/// Whether a new version can reach an instance: from the store, or over a link from another one.
+bool configuration_model::has_way(std::size_t instance) const {
+  const auto served = [&](std::size_t one) {
+    return store_.access(processes_[one]->name()) == store_access::open;
+  };
+  if (served(instance)) {
+    return true;
+  }
+  for (std::size_t other = 0; other < size(); ++other) {
+    if (other != instance && reachable(instance) && reachable(other) && served(other)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void configuration_model::check() {
   const time_point now = timers_.now();
+  for (std::size_t i = 0; i < size(); ++i) {
+    if (!has_way(i)) {
+      disturb(i, duration::zero());
+    }
+  }
   if (late_.has_value() || now < store_disturbed_until_) {
     return;
   }
--- a/Tests/sidecar/configuration_model.h
+++ b/Tests/sidecar/configuration_model.h
@@ -25,9 +25,10 @@
 /// A fleet in three failure domains with a store and links, on a virtual clock. The real code that
 /// follows and spreads configurations decides; store, links and processes fail as the test says.
 ///
-/// An instance is in touch if neither it nor the store, as far as it uses the store, has been in
-/// trouble for three seconds. It must have each version in force two seconds after the store has
-/// acknowledged it, or seven while the store loses its history.
+/// An instance is in touch if its process and its connections have not been in trouble for three
+/// seconds, the store is not slow, and a way to new versions is left: the store or links to other
+/// instances. It must have each version in force two seconds after the store has acknowledged it,
+/// or seven while the store loses its history.
 class configuration_model {
  public:
   /// Starts the fleet with a first version, and waits until all instances are in touch.
@@ -59,8 +60,10 @@
 
   [[nodiscard]] std::size_t size() const { return processes_.size(); }
   [[nodiscard]] model_process& at(std::size_t instance) { return *processes_.at(instance); }
-  /// Positions of the instances of the failure domain of this index that wait at the store.
-  [[nodiscard]] std::vector<std::size_t> watchers_of(std::size_t domain);
+  /// Positions of the instances of the failure domain of this index.
+  [[nodiscard]] std::vector<std::size_t> domain(std::size_t index) const;
+  /// Those of them that wait at the store.
+  [[nodiscard]] std::vector<std::size_t> watchers_of(std::size_t index) const;
   /// The first instance that was late, if any was.
   [[nodiscard]] const std::optional<late_version>& late() const { return late_; }
   [[nodiscard]] const std::vector<std::string>& troubles() const { return troubles_; }
@@ -85,6 +88,7 @@
   void close(const ends& between, link& one);
   void introduce(std::size_t peer, std::size_t to);
   [[nodiscard]] bool reachable(std::size_t instance) const;
+  [[nodiscard]] bool has_way(std::size_t instance) const;
   void disturb(std::size_t instance, duration span);
   void disturb_all(duration span);
   void cause_trouble();
--- a/Tests/sidecar/model_store.cpp
+++ b/Tests/sidecar/model_store.cpp
@@ -9,6 +9,8 @@
 
 constexpr duration call_timeout = std::chrono::seconds(1);
 constexpr duration watch_grace = std::chrono::milliseconds(500);
+/// A connection that has been idle for longer is not used again.
+constexpr duration idle_limit = std::chrono::milliseconds(4'500);
 constexpr duration poll_interval = std::chrono::milliseconds(20);
 
 configuration_reading without_content(store_outcome outcome) {
@@ -91,7 +93,10 @@
 
 void model_store_client::read_configuration(configuration_callback done) {
   const store_access access = store_.access(self_);
-  if (std::exchange(call_connection_silent_, false) || access == store_access::silent) {
+  const bool reused = timers_.now() - last_call_at_ < idle_limit;
+  last_call_at_ = timers_.now();
+  const bool lost = std::exchange(call_connection_silent_, false) && reused;
+  if (lost || access == store_access::silent) {
     answer(done, without_content(store_outcome::unknown), call_timeout);
   } else if (access == store_access::refused) {
     answer(done, without_content(store_outcome::refused), store_.latency_);
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -82,6 +82,7 @@
   instance_name self_;
   std::vector<watch_pointer> watches_;  ///< The first one has the connection.
   bool call_connection_silent_ = false;
+  time_point last_call_at_{};
 };
 
 }  // namespace crocusdoor
