--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -401,6 +401,15 @@
   }
 }
 
+void http_client::close_idle() {
+  const std::vector<detail::connection_pointer> open = state_->connections;
+  for (const detail::connection_pointer& connection : open) {
+    if (!connection->busy()) {
+      state_->drop(connection);
+    }
+  }
+}
+
 std::uint64_t http_client::connections_opened() const noexcept {
   return state_->opened;
 }
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -82,6 +82,9 @@
   /// Ends a request early by closing its connection; its callback is not called.
   void cancel(const http_call& call);
 
+  /// Closes the connections that carry no request, so that the next request opens a new one.
+  void close_idle();
+
   /// Connections opened since the start.
   [[nodiscard]] std::uint64_t connections_opened() const noexcept;
 
