Keep one watch at the store for each sidecar

A read begun while a watch was open went on to a watch of its own when it had ended. The second watch waited for the only connection, ended as refused, counted as a lost store, and so made the daemon ask its peers for whole versions and the store again.

Cause: the end of each read scheduled the next call, whatever else was open.

Change: a read beside a watch is one step; the watch goes on with the series of calls, also after a read that failed.

--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -48,7 +48,10 @@
     return;
   }
   call_answered(reading);
-  next_call_ = shared_.timers.after(settle_time, [this] { follow(); });
+  // A read beside a watch is one more step, not the beginning of a second series of calls.
+  if (!watching_) {
+    next_call_ = shared_.timers.after(settle_time, [this] { follow(); });
+  }
 }
 
 duration configuration_follower::watch_time() const {
@@ -76,12 +79,14 @@
 }
 
 void configuration_follower::watch() {
+  watching_ = true;
   store_.watch_configuration(revision_, watch_time(), [this](const configuration_reading& reading) {
     watch_ended(reading);
   });
 }
 
 void configuration_follower::watch_ended(const configuration_reading& reading) {
+  watching_ = false;
   if (reading.outcome == store_outcome::history_gone) {
     read();
     return;
@@ -104,6 +109,9 @@
     shared_.log.warning("store_lost",
                         {{"outcome", std::string(to_string(outcome))}, {"version", version()}});
   }
+  if (watching_) {
+    return;
+  }
   const int doublings = std::min(failures_, doubling_limit);
   const duration ceiling = std::min(first_retry_delay * (1 << doublings), longest_retry_delay);
   next_call_ =
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -84,6 +84,7 @@
   std::uint64_t revision_ = 0;
   int failures_ = 0;
   bool reading_ = false;
+  bool watching_ = false;
   bool pausing_ = false;  ///< Until the next call, as no watcher.
   version_catch_up catch_up_;
   std::optional<time_point> catch_up_due_;
--- a/Tests/sidecar/configuration_model.h
+++ b/Tests/sidecar/configuration_model.h
@@ -64,6 +64,7 @@
   [[nodiscard]] std::vector<std::size_t> domain(std::size_t index) const;
   /// Those of them that wait at the store.
   [[nodiscard]] std::vector<std::size_t> watchers_of(std::size_t index) const;
+  [[nodiscard]] int overlapping_watches() const { return store_.overlapping_watches(); }
   /// The first instance that was late, if any was.
   [[nodiscard]] const std::optional<late_version>& late() const { return late_; }
   [[nodiscard]] const std::vector<std::string>& troubles() const { return troubles_; }
--- a/Tests/sidecar/configuration_model_test.cpp
+++ b/Tests/sidecar/configuration_model_test.cpp
@@ -62,6 +62,7 @@
     model.run_random_day();
     INFO("seed " << seed << ": " << described(model));
     CHECK_FALSE(model.late().has_value());
+    CHECK(model.overlapping_watches() == 0);
   }
 }
 
--- a/Tests/sidecar/model_store.cpp
+++ b/Tests/sidecar/model_store.cpp
@@ -115,6 +115,7 @@
   one->revision = revision;
   one->end = timers_.now() + wait;
   one->done = std::move(done);
+  store_.overlapping_watches_ += watches_.empty() ? 0 : 1;
   watches_.push_back(one);
   timers_.post(wait + watch_grace, [this, one] {
     finish(one, without_content(one->begun ? store_outcome::unknown : store_outcome::refused));
@@ -162,6 +163,10 @@
   if (std::exchange(one->finished, true)) {
     return;
   }
+  if (one->silent) {
+    // The real client trusts no idle connection after this.
+    call_connection_silent_ = false;
+  }
   std::erase(watches_, one);
   if (!watches_.empty() && !watches_.front()->begun) {
     begin(watches_.front());
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -30,6 +30,8 @@
   /// Watches hear nothing for this time; then they are cut and the history is gone.
   void compact_after(duration span);
   void set_latency(duration latency) { latency_ = latency; }
+  /// Watches that a process began while it had another one.
+  [[nodiscard]] int overlapping_watches() const { return overlapping_watches_; }
 
  private:
   friend class model_store_client;
@@ -48,6 +50,7 @@
   std::uint64_t oldest_known_revision_ = 0;
   time_point mute_until_{};
   int compactions_ = 0;
+  int overlapping_watches_ = 0;
   duration latency_ = std::chrono::milliseconds(4);
 };
 
