Adopt a staged version of crocusdoord by when the first one was staged

What callers would see: routes of an older version for as long as operators confirm plans faster than each 200 ms and the peers of a watcher do not say that they hold the versions.

Cause: stage_candidate began the wait for acknowledgements anew for each newer head.

Change: the wait runs from the first candidate; what is adopted at its end is the newest one.

Test: 'a series of versions does not keep a daemon from adopting one while peers hold none'; before, the version was still 1 after a second with a version each 50 ms.

--- a/Source/daemon/configuration_distributor.cpp
+++ b/Source/daemon/configuration_distributor.cpp
@@ -183,7 +183,10 @@
   }
   candidate_ = head;
   mesh_.send_to_all(delta_between(*current(), head.content, head.content_digest));
-  candidate_timer_ = shared_.loop.after(acknowledgement_limit, [this] { adopt_candidate(); });
+  // A newer candidate does not prolong the wait.
+  if (candidate_timer_ == nullptr) {
+    candidate_timer_ = shared_.loop.after(acknowledgement_limit, [this] { adopt_candidate(); });
+  }
 }
 
 void configuration_distributor::review_candidate() {
