Give up a server whose bytes are no answer and never end

What callers would see: a sidecar that reads a target's bytes until the deadline of the request; a chunk extension or trailers without end were kept in memory all the while, which at the speed of a link is over the memory of an instance in a second.

Cause: the parser limits headers and body; a line between chunks, trailers, interim responses and responses to other requests had no limit.

Change: what is left unread of an incomplete message may be as long as its headers may be; 16 interim responses and 16 responses to other requests are passed over, then the exchange ends as garbled. The reader of requests has the same limit on framing.

'limits on headers and bodies hold' has the callers' side.

--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -26,6 +26,9 @@
 /// cross the close.
 constexpr duration idle_margin = std::chrono::milliseconds(500);
 
+/// Responses to other requests that are passed over before a connection is given up.
+constexpr int stray_responses_limit = 16;
+
 /// Time that the server keeps an idle connection, from its `Keep-Alive` header.
 std::optional<duration> stated_idle_limit(const http_headers& headers) {
   constexpr std::string_view key = "timeout=";
@@ -193,7 +196,10 @@
     const bool keep = reader_->keep_alive();
     http_response response = reader_->take();
     if (call_->answers != nullptr && !call_->answers(response)) {
-      stray_response_ = true;
+      if (++stray_responses_ > stray_responses_limit) {
+        end(http_outcome::garbled);
+        return true;
+      }
       reader_.emplace(call_->request.method, size_limits());
       if (!keep) {
         end(http_outcome::interrupted);
@@ -204,7 +210,7 @@
       idle_limit_ = *stated;
     }
     const bool request_unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
-    broken_ = !keep || !input_.empty() || stray_response_ || request_unsent;
+    broken_ = !keep || !input_.empty() || stray_responses_ > 0 || request_unsent;
     complete({http_outcome::answered, std::move(response), !reused_, false});
     return true;
   }
@@ -284,7 +290,7 @@
   bool written_ = false;
   bool reused_ = false;
   bool broken_ = false;
-  bool stray_response_ = false;
+  int stray_responses_ = 0;
 };
 
 void http_client_state::start_waiting() {
--- a/Source/transport/http_framing.cpp
+++ b/Source/transport/http_framing.cpp
@@ -29,6 +29,8 @@
 constexpr int status_headers_too_large = 431;
 constexpr int status_not_implemented = 501;
 constexpr int first_final_status = 200;
+/// Interim responses that are passed over before one response.
+constexpr int interim_responses_limit = 16;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
@@ -84,6 +86,12 @@
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
 
+/// What is left unread of a message that is not complete is the beginning of its headers, of a line
+/// between chunks or of its trailers. These have no limit of the parser's once the body has begun.
+read_progress progress_with_rest(const std::string& rest, std::size_t limit_bytes) {
+  return rest.size() > limit_bytes ? read_progress::refused : read_progress::incomplete;
+}
+
 void append_headers(std::string& bytes, const http_headers& headers) {
   for (const auto& [name, value] : headers) {
     bytes.append(name).append(": ").append(value).append("\r\n");
@@ -95,7 +103,8 @@
 }  // namespace detail
 
 http_request_reader::http_request_reader(http_size_limits limits)
-    : parser_(std::make_unique<detail::request_parser>()) {
+    : parser_(std::make_unique<detail::request_parser>()),
+      framing_limit_bytes_(limits.header_bytes) {
   parser_->parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser_->parser.body_limit(limits.body_bytes);
 }
@@ -122,7 +131,7 @@
       continue;
     }
     if (!parser.is_done() && (bytes.empty() || bytes.size() == before)) {
-      return read_progress::incomplete;
+      return detail::progress_with_rest(bytes, framing_limit_bytes_);
     }
   }
   return read_progress::complete;
@@ -197,6 +206,9 @@
         return read_progress::refused;
       }
       if (static_cast<int>(message.result_int()) < detail::first_final_status) {
+        if (++interim_responses_ > detail::interim_responses_limit) {
+          return read_progress::refused;
+        }
         start();
         continue;
       }
@@ -206,7 +218,7 @@
       continue;
     }
     if (!parser.is_done() && (bytes.empty() || bytes.size() == before)) {
-      return read_progress::incomplete;
+      return detail::progress_with_rest(bytes, limits_.header_bytes);
     }
   }
   return read_progress::complete;
--- a/Source/transport/http_framing.h
+++ b/Source/transport/http_framing.h
@@ -55,6 +55,7 @@
   [[nodiscard]] bool accept_headers();
 
   std::unique_ptr<detail::request_parser> parser_;
+  std::size_t framing_limit_bytes_;
   http_request request_;
   int refusal_status_ = 400;
 };
@@ -89,6 +90,7 @@
   http_size_limits limits_;
   std::unique_ptr<detail::response_parser> parser_;
   http_response response_;
+  int interim_responses_ = 0;
   bool begun_ = false;
 };
 
--- /dev/null
+++ b/Tests/transport/http_client_test.cpp
@@ -0,0 +1,151 @@
+#include "transport/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "transport/tcp_listener.h"
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr std::size_t size_limit = 10'000;
+/// Bytes in the buffers of the kernel and of libevent may be written and not read.
+constexpr std::size_t written_limit = 16'000'000;
+
+/// A server that answers with some bytes and then others again and again, until the client closes.
+class endless_server {
+ public:
+  endless_server(event_loop& loop, std::string first, std::string repeated)
+      : loop_(loop),
+        first_(std::move(first)),
+        repeated_(std::move(repeated)),
+        listener_(loop, {"127.0.0.1", 0},
+                  [this](std::intptr_t descriptor) { accept(descriptor); }) {}
+  ~endless_server() { close(); }
+  endless_server(const endless_server&) = delete;
+  endless_server& operator=(const endless_server&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const { return listener_.port(); }
+  [[nodiscard]] bool closed() const { return closed_; }
+  [[nodiscard]] std::size_t written() const { return written_; }
+
+ private:
+  void accept(std::intptr_t descriptor) {
+    stream_ = bufferevent_socket_new(loop_.base(), static_cast<evutil_socket_t>(descriptor),
+                                     BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(stream_, &endless_server::on_read, &endless_server::on_drained,
+                      &endless_server::on_event, this);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+  }
+
+  void write(const std::string& bytes) {
+    written_ += bytes.size();
+    bufferevent_write(stream_, bytes.data(), bytes.size());
+  }
+
+  void close() {
+    closed_ = true;
+    if (stream_ != nullptr) {
+      bufferevent_free(stream_);
+      stream_ = nullptr;
+    }
+  }
+
+  static void on_read(bufferevent* stream, void* context) {
+    auto& self = *static_cast<endless_server*>(context);
+    evbuffer_drain(bufferevent_get_input(stream),
+                   evbuffer_get_length(bufferevent_get_input(stream)));
+    if (self.written_ == 0) {
+      self.write(self.first_);
+    }
+  }
+
+  static void on_drained(bufferevent*, void* context) {
+    auto& self = *static_cast<endless_server*>(context);
+    if (self.written_ > 0 && self.written_ < written_limit) {
+      self.write(self.repeated_);
+    }
+  }
+
+  static void on_event(bufferevent*, short what, void* context) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+      static_cast<endless_server*>(context)->close();
+    }
+  }
+
+  event_loop& loop_;
+  std::string first_;
+  std::string repeated_;
+  tcp_listener listener_;
+  bufferevent* stream_ = nullptr;
+  std::size_t written_ = 0;
+  bool closed_ = false;
+};
+
+std::string repeat(const std::string& text, int times) {
+  std::string result;
+  for (int i = 0; i < times; ++i) {
+    result += text;
+  }
+  return result;
+}
+
+}  // namespace
+
+TEST_CASE("a server whose bytes never end does not occupy its client", "[F12]") {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string stray = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
+  struct endless {
+    std::string what;
+    std::string first;
+    std::string repeated;
+  };
+  const std::vector<endless> cases = {
+      {"bytes that are no response", "x", repeat("x", 1'000)},
+      {"a status line", "HTTP/1.1 200 ", repeat("x", 1'000)},
+      {"one header", status + "X: ", repeat("x", 1'000)},
+      {"headers", status, repeat("X: x\r\n", 100)},
+      {"a body until the end of the connection", status + "\r\n", repeat("x", 1'000)},
+      {"a body of chunks", status + "Transfer-Encoding: chunked\r\n\r\n",
+       repeat("3\r\nabc\r\n", 100)},
+      {"empty lines before a chunk", status + "Transfer-Encoding: chunked\r\n\r\n",
+       repeat("\r\n", 100)},
+      {"a chunk extension", status + "Transfer-Encoding: chunked\r\n\r\n3;", repeat("x", 1'000)},
+      {"trailers", status + "Transfer-Encoding: chunked\r\n\r\n0\r\n", repeat("X: x\r\n", 100)},
+      {"interim responses", "HTTP/1.1 100 Continue\r\n\r\n",
+       repeat("HTTP/1.1 100 Continue\r\n\r\n", 50)},
+      {"responses to other requests", stray, repeat(stray, 50)},
+  };
+  for (const endless& one : cases) {
+    INFO(one.what);
+    event_loop loop;
+    endless_server server(loop, one.first, one.repeated);
+    http_client_options options;
+    options.size = {size_limit, size_limit};
+    http_client client(loop, {"127.0.0.1", server.port()}, options);
+    http_outcome outcome = http_outcome::answered;
+    client.send(
+        {"GET", "/", {}, {}}, std::chrono::seconds(10),
+        [&](const http_result& result) {
+          outcome = result.outcome;
+          loop.stop();
+        },
+        [](const http_response& response) {
+          return header_value(response.headers, "X-Id") == "own";
+        });
+    loop.run();
+    CHECK(outcome == http_outcome::garbled);
+    while (!server.closed()) {
+      loop.run_once();
+    }
+    CHECK(server.written() < written_limit);
+  }
+}
+
+}  // namespace crocusdoor
--- a/Tests/transport/http_framing_test.cpp
+++ b/Tests/transport/http_framing_test.cpp
@@ -121,6 +121,13 @@
         431);
   CHECK(read_all("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + filler, 4'096)
             .refusal_status == 413);
+  const std::string chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  CHECK(read_all(chunked + "3;" + std::string(2'000, 'x'), 100).refusal_status == 400);
+  std::string trailers;
+  for (int i = 0; i < 1'000; ++i) {
+    trailers += "X: x\r\n";
+  }
+  CHECK(read_all(chunked + "0\r\n" + trailers, 100).refusal_status == 400);
 }
 
 TEST_CASE("a response is whole or visibly broken", "[P4]") {
