Fetch a version over a new connection to the store

Cause: a version is fetched because something that should have brought it has not, often a watch on a connection that has gone silent. The fetch took a kept connection, which was as silent, and hung for up to a second before a peer was asked.

Change: before such a read the idle connections of the store are closed.

--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -205,6 +205,8 @@
   if (step.peer.has_value()) {
     callbacks_.request_whole(*step.peer);
   } else {
+    // What should have brought the version may be a connection that has gone silent.
+    store_.distrust_connections();
     read();
   }
 }
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -89,6 +89,8 @@
   using outcome_callback = std::function<void(store_outcome)>;
 
   virtual void read_configuration(configuration_callback done) = 0;
+  /// The open connections may have gone silent: further calls use new ones.
+  virtual void distrust_connections() = 0;
   /// Waits for a change after a revision, at most for `wait`.
   virtual void watch_configuration(std::uint64_t revision, duration wait,
                                    configuration_callback done) = 0;
