--- a/Tests/sidecar/configuration_model.cpp
+++ b/Tests/sidecar/configuration_model.cpp
@@ -183,7 +183,7 @@
 }
 
 void configuration_model::write_series(duration span, duration gap) {
-  troubles_.push_back("series of versions");
+  faults_.push_back("series of versions");
   for (duration at = duration::zero(); at < span; at += gap) {
     timers_.post(at, [this] { write_version(); });
   }
@@ -191,7 +191,7 @@
 
 void configuration_model::turn_away(std::vector<std::size_t> instances, store_access access,
                                     duration span) {
-  troubles_.push_back("the store turns " + std::to_string(instances.size()) + " away");
+  faults_.push_back("the store turns " + std::to_string(instances.size()) + " away");
   for (const std::size_t one : instances) {
     store_.set_access(processes_[one]->name(), access);
   }
@@ -203,12 +203,12 @@
 }
 
 void configuration_model::cut_off(std::size_t instance, duration span) {
-  troubles_.push_back("cut off " + processes_[instance]->name().str());
+  faults_.push_back("cut off " + processes_[instance]->name().str());
   cut_until_[instance] = std::max(cut_until_[instance], timers_.now() + span);
 }
 
 void configuration_model::kill(std::size_t instance, duration down, bool without_power) {
-  troubles_.push_back("kill " + processes_[instance]->name().str());
+  faults_.push_back("kill " + processes_[instance]->name().str());
   disturb(instance, down);
   processes_[instance]->end();
   for (auto& [between, one] : links_) {
@@ -229,7 +229,7 @@
   if (!processes_[instance]->running()) {
     return;
   }
-  troubles_.push_back("restart " + processes_[instance]->name().str());
+  faults_.push_back("restart " + processes_[instance]->name().str());
   disturb(instance, stop_time);
   processes_[instance]->stopping = true;
   processes_[instance]->exchange().leave();
@@ -249,20 +249,20 @@
 }
 
 void configuration_model::freeze(std::size_t instance, duration span) {
-  troubles_.push_back("freeze " + processes_[instance]->name().str());
+  faults_.push_back("freeze " + processes_[instance]->name().str());
   disturb(instance, span);
   processes_[instance]->freeze_until(timers_.now() + span);
 }
 
 void configuration_model::slow_down(std::size_t instance, duration span) {
-  troubles_.push_back("slow down " + processes_[instance]->name().str());
+  faults_.push_back("slow down " + processes_[instance]->name().str());
   disturb(instance, span);
   processes_[instance]->set_lateness(milliseconds(200));
   timers_.post(span, [this, instance] { processes_[instance]->set_lateness(duration::zero()); });
 }
 
 void configuration_model::silence_connections(double share) {
-  troubles_.emplace_back("connections fall silent");
+  faults_.emplace_back("connections fall silent");
   disturb_all(duration::zero());
   for (auto& [between, one] : links_) {
     one.silent = one.silent || random_.fraction() < share;
@@ -275,13 +275,13 @@
 }
 
 void configuration_model::forget_history(duration mute) {
-  troubles_.emplace_back("the store forgets its history");
+  faults_.emplace_back("the store forgets its history");
   store_.compact_after(mute);
   history_lost_until_ = std::max(history_lost_until_, timers_.now() + mute + contact_time);
 }
 
 void configuration_model::slow_store(duration span) {
-  troubles_.emplace_back("the store is slow");
+  faults_.emplace_back("the store is slow");
   store_.set_latency(milliseconds(200));
   store_disturbed_until_ = std::max(store_disturbed_until_, timers_.now() + span + contact_time);
   timers_.post(span, [this] { store_.set_latency(milliseconds(4)); });
@@ -323,7 +323,7 @@
   return least + random_.up_to(most - least);
 }
 
-void configuration_model::cause_trouble() {
+void configuration_model::inject_fault() {
   const duration span = between(seconds(2), seconds(9));
   switch (random_.index(11)) {
     case 0:
@@ -386,11 +386,11 @@
   timers_.post(random_.up_to(day), [this] {
     write_series(between(seconds(3), seconds(5)), between(milliseconds(160), milliseconds(400)));
   });
-  const std::size_t troubles = 2 + random_.index(5);
-  for (std::size_t i = 0; i < troubles; ++i) {
-    timers_.post(random_.up_to(day), [this] { cause_trouble(); });
+  const std::size_t faults = 2 + random_.index(5);
+  for (std::size_t i = 0; i < faults; ++i) {
+    timers_.post(random_.up_to(day), [this] { inject_fault(); });
   }
-  // All troubles are over at the end, so the last versions must be everywhere.
+  // All faults are over at the end, so the last versions must be everywhere.
   run_for(day + seconds(30));
   write_version();
   run_for(seconds(4));
--- a/Tests/sidecar/configuration_model.h
+++ b/Tests/sidecar/configuration_model.h
@@ -25,7 +25,7 @@
 /// A fleet in three failure domains with a store and links, on a virtual clock. The real code that
 /// follows and spreads configurations decides; store, links and processes fail as the test says.
 ///
-/// An instance is in touch if its process and its connections have not been in trouble for three
+/// An instance is in touch if its process and its connections have not been faulty for three
 /// seconds, the store is not slow, and a way to new versions is left: the store or links to other
 /// instances. It must have each version in force two seconds after the store has acknowledged it,
 /// or seven while the store loses its history.
@@ -38,7 +38,7 @@
   configuration_model& operator=(const configuration_model&) = delete;
 
   void run_for(duration span) { timers_.run_for(span); }
-  /// Versions and troubles as the seed says, one after the other and overlapping.
+  /// Versions and faults as the seed says, one after the other and overlapping.
   void run_random_day();
 
   void write_version();
@@ -67,7 +67,7 @@
   [[nodiscard]] int overlapping_watches() const { return store_.overlapping_watches(); }
   /// The first instance that was late, if any was.
   [[nodiscard]] const std::optional<late_version>& late() const { return late_; }
-  [[nodiscard]] const std::vector<std::string>& troubles() const { return troubles_; }
+  [[nodiscard]] const std::vector<std::string>& faults() const { return faults_; }
 
  private:
   struct link {
@@ -92,7 +92,7 @@
   [[nodiscard]] bool has_way(std::size_t instance) const;
   void disturb(std::size_t instance, duration span);
   void disturb_all(duration span);
-  void cause_trouble();
+  void inject_fault();
   [[nodiscard]] std::size_t any_instance();
   [[nodiscard]] std::vector<std::size_t> some_instances(std::size_t count);
   [[nodiscard]] duration between(duration least, duration most);
@@ -111,7 +111,7 @@
   std::uint64_t version_ = 0;
   std::vector<timer_handle> periodic_;
   std::optional<late_version> late_;
-  std::vector<std::string> troubles_;
+  std::vector<std::string> faults_;
 };
 
 }  // namespace crocusdoor
--- a/Tests/sidecar/configuration_model_test.cpp
+++ b/Tests/sidecar/configuration_model_test.cpp
@@ -55,7 +55,7 @@
   CHECK_FALSE(model.late().has_value());
 }
 
-TEST_CASE("versions are in force in time on days of overlapping troubles", "[sidecar][P1][P9]") {
+TEST_CASE("versions are in force in time on days of overlapping faults", "[sidecar][P1][P9]") {
   // A short run of configuration_sweep, which plays days by the thousand.
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     configuration_model model(seed);
--- a/Tests/sidecar/configuration_sweep.cpp
+++ b/Tests/sidecar/configuration_sweep.cpp
@@ -26,8 +26,8 @@
                 static_cast<unsigned long long>(late->held),
                 static_cast<unsigned long long>(late->expected),
                 std::chrono::duration<double>(late->seen_at).count());
-    for (const std::string& trouble : model.troubles()) {
-      std::printf(" %s;", trouble.c_str());
+    for (const std::string& fault : model.faults()) {
+      std::printf(" %s;", fault.c_str());
     }
     std::printf("\n");
   }
