--- a/Tests/sidecar/configuration_model.cpp
+++ b/Tests/sidecar/configuration_model.cpp
@@ -148,15 +148,13 @@
   const bool both_reachable = reachable(between.first) && reachable(between.second);
   const std::array<int, 2> starts = {processes_[between.first]->starts(),
                                      processes_[between.second]->starts()};
-  if (one.open && starts != one.starts && both_reachable) {
-    open(between, one);
-  } else if (one.open) {
-    const time_point heard = std::min(one.heard_at[0], one.heard_at[1]);
-    if (timers_.now() - heard > silence_limit) {
-      close(between, one);
-    }
-  } else if (both_reachable && one.opens_at <= timers_.now()) {
+  const bool replaced = one.open && starts != one.starts;
+  const bool due = !one.open && one.opens_at <= timers_.now();
+  const bool silent = timers_.now() - std::min(one.heard_at[0], one.heard_at[1]) > silence_limit;
+  if (both_reachable && (replaced || due)) {
     open(between, one);
+  } else if (one.open && silent) {
+    close(between, one);
   }
 }
 
@@ -367,7 +365,8 @@
       }
       break;
     case 8:
-      silence_connections(between(milliseconds(200), milliseconds(1'000)).count() / 1e6);
+      silence_connections(
+          std::chrono::duration<double>(between(milliseconds(200), seconds(1))).count());
       break;
     case 9:
       forget_history(seconds(1));
