Wait 700 ms between the steps that fetch a version

Cause: a version of 2,733 routes takes the store and a small instance up to 0.7 s. After 400 ms a peer was asked for it as well; encoding and sending it costs both instances as much again, and more versions are late for it.

Change: 700 ms between steps.

--- a/Source/mesh/version_catch_up.cpp
+++ b/Source/mesh/version_catch_up.cpp
@@ -9,7 +9,9 @@
 /// Watchers bring nearly all versions in this time, at less cost. They pause for half a second
 /// between two watches.
 constexpr duration first_step_delay = std::chrono::milliseconds(600);
-constexpr duration step_interval = std::chrono::milliseconds(400);
+/// A large version takes the store and a small link this long; asking a peer for it beside that
+/// costs both of them as much again.
+constexpr duration step_interval = std::chrono::milliseconds(700);
 /// Versions whose wait is known. Later ones are heard of again.
 constexpr std::size_t heard_limit = 64;
 
