Look up a peer only when its message says a newer version

Every message between peers looked up the sender's failure domain, which only a newer version needs. The follower passed over the others afterwards; they are passed over first now.

--- a/Source/sidecar/configuration_exchange.cpp
+++ b/Source/sidecar/configuration_exchange.cpp
@@ -45,6 +45,10 @@
 }
 
 void configuration_exchange::version_seen(const instance_name& peer, std::uint64_t version) {
+  // Every message of a peer says its version, and nearly always the one in force here.
+  if (version <= this->version()) {
+    return;
+  }
   const auto found = group_.members().find(peer);
   const bool same_domain =
       found != group_.members().end() && found->second.domain == group_.own_domain();
