Show in logs and metrics what the GONE hypotheses differ in

Nothing told whether a request was handed over though its caller had left already, whether a cancellation was written, whether it met the call it was meant for, or what waited and ran when a link was lost.

New lines: caller_gone_unread, cancellation_not_sent, cancellation_unmatched, peer_lost_with_work; counters crocusdoor_departed_callers_total, crocusdoor_cancellations_total, crocusdoor_work_of_lost_links_total. The callbacks of call_router are a struct with names. No decision changes.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -21,22 +21,18 @@
 
 }  // namespace
 
-call_router::call_router(event_loop& loop, peer_process self, peer_mesh& mesh,
-                         local_delivery deliver, local_cancellation cancel,
-                         std::function<void()> count_unmatched)
+call_router::call_router(event_loop& loop, peer_process self, peer_mesh& mesh, handlers callbacks)
     : loop_(loop),
       self_(std::move(self)),
       mesh_(mesh),
-      deliver_locally_(std::move(deliver)),
-      cancel_locally_(std::move(cancel)),
-      count_unmatched_(std::move(count_unmatched)),
+      callbacks_(std::move(callbacks)),
       next_id_(first_id_of(self_.incarnation)) {
   message_dispatcher& dispatcher = mesh_.dispatcher();
   dispatcher.on<wire::call_answer>([this](const auto& from, const wire::call_answer& answer) {
     if (const auto outcome = pending_.answer(answer, process_of(from))) {
       finish(*outcome);
     } else {
-      count_unmatched_();
+      callbacks_.answer_unmatched();
     }
   });
   dispatcher.on<wire::call_status_answer>([this](const auto& from, const auto& answer) {
@@ -64,7 +60,7 @@
   one.idempotent = request.idempotent;
   if (to == self_.name) {
     pending_.add(id, process_of(to), deadline, true);
-    loop_.post([this, request = std::move(request)] { deliver_locally_(request); });
+    loop_.post([this, request = std::move(request)] { callbacks_.deliver_locally(request); });
     return id;
   }
   one.unsent = std::move(request);
@@ -97,9 +93,10 @@
   if (found->second.unsent.has_value()) {
     finish({id, process_of(found->second.to), verdict::not_run, std::nullopt, "cancelled"});
   } else if (found->second.to == self_.name) {
-    cancel_locally_(id);
+    callbacks_.cancel_locally(id);
   } else {
-    mesh_.send(found->second.to, wire::call_cancel{id});
+    const instance_name to = found->second.to;
+    callbacks_.cancelled(to, id, mesh_.send(to, wire::call_cancel{id}));
   }
 }
 
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -23,13 +23,18 @@
   static constexpr const char* link_unavailable_reason = "link_unavailable";
 
   using callback = std::function<void(const call_outcome&)>;
-  /// Passes a call to the target beside this daemon.
-  using local_delivery = std::function<void(const wire::call&)>;
-  using local_cancellation = std::function<void(wire::request_id)>;
 
-  /// `count_unmatched` is called for each answer that no call waits for.
-  call_router(event_loop& loop, peer_process self, peer_mesh& mesh, local_delivery deliver,
-              local_cancellation cancel, std::function<void()> count_unmatched);
+  struct handlers {
+    /// Passes a call to the target beside this daemon.
+    std::function<void(const wire::call&)> deliver_locally;
+    std::function<void(wire::request_id)> cancel_locally;
+    /// An answer has come that no call waits for.
+    std::function<void()> answer_unmatched;
+    /// A call was cancelled; `sent` says whether its receiver could be told.
+    std::function<void(const instance_name& to, wire::request_id, bool sent)> cancelled;
+  };
+
+  call_router(event_loop& loop, peer_process self, peer_mesh& mesh, handlers callbacks);
 
   /// Sends a call; its id and sender are filled in. `done` is called exactly once, in a later turn
   /// of the loop and at the latest after `deadline`.
@@ -69,9 +74,7 @@
   event_loop& loop_;
   peer_process self_;
   peer_mesh& mesh_;
-  local_delivery deliver_locally_;
-  local_cancellation cancel_locally_;
-  std::function<void()> count_unmatched_;
+  handlers callbacks_;
   pending_calls pending_;
   std::map<wire::request_id, waiting_call> calls_;
   std::map<instance_name, std::vector<wire::request_id>> to_query_;
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -71,13 +71,17 @@
   target_ = std::make_unique<target_gateway>(shared_, suspicions_, target_handlers());
   router_ = std::make_unique<call_router>(
       loop_, peer_process{options_.instance.name, shared_.incarnation}, *mesh_,
-      [this](const wire::call& request) {
-        target_->receive(options_.instance.name, distributor_->current()->version, request);
-      },
-      [this](wire::request_id id) {
-        target_->cancel(options_.instance.name, shared_.incarnation, id);
-      },
-      [this] { counters_.count_unmatched_answer(); });
+      call_router::handlers{[this](const wire::call& request) {
+                              target_->receive(options_.instance.name,
+                                               distributor_->current()->version, request);
+                            },
+                            [this](wire::request_id id) {
+                              target_->cancel(options_.instance.name, shared_.incarnation, id);
+                            },
+                            [this] { counters_.count_unmatched_answer(); },
+                            [this](const instance_name&, wire::request_id, bool sent) {
+                              counters_.count_cancellation(sent ? "sent" : "not_sent");
+                            }});
   caller_services_ = std::make_unique<caller_services>(caller_services{
       shared_, *router_, *run_once_, selector_, hedges_,
       [this](const service_name& name) -> retry_budget& {
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -48,6 +48,13 @@
                             "Requests refused as not run by the target side")),
       claims_(make_family(registry_, "crocusdoor_claims_total",
                           "Claim requests of run-once actions by decision")),
+      departed_callers_(
+          make_family(registry_, "crocusdoor_departed_callers_total",
+                      "Callers that closed before their answer, by when it was seen")),
+      cancellations_(make_family(registry_, "crocusdoor_cancellations_total",
+                                 "Cancellations of calls, sent and received, by result")),
+      work_of_lost_links_(make_family(registry_, "crocusdoor_work_of_lost_links_total",
+                                      "Requests of a peer when its last link was lost, by state")),
       adoptions_(make_family(registry_, "crocusdoor_configuration_offers_total",
                              "Configuration versions offered to this instance by result")),
       catch_ups_(make_family(registry_, "crocusdoor_configuration_catch_ups_total",
@@ -93,6 +100,18 @@
   claims_->Add({{"decision", decision}}).Increment();
 }
 
+void metrics::count_departed_caller(const std::string& seen) {
+  departed_callers_->Add({{"seen", seen}}).Increment();
+}
+
+void metrics::count_cancellation(const std::string& result) {
+  cancellations_->Add({{"result", result}}).Increment();
+}
+
+void metrics::count_work_of_lost_link(const std::string& state, std::size_t requests) {
+  work_of_lost_links_->Add({{"state", state}}).Increment(static_cast<double>(requests));
+}
+
 void metrics::count_adoption(const std::string& result) {
   adoptions_->Add({{"result", result}}).Increment();
 }
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -25,6 +25,12 @@
   void count_hedge() { hedges_->Increment(); }
   void count_claim(const std::string& decision);
   void count_unmatched_answer() { unmatched_answers_->Increment(); }
+  /// A caller closed its connection before its answer; `seen` says when that was noticed.
+  void count_departed_caller(const std::string& seen);
+  /// A cancellation of a call, at either end, by what came of it.
+  void count_cancellation(const std::string& result);
+  /// Work of a peer at the moment its last link was lost, by its state.
+  void count_work_of_lost_link(const std::string& state, std::size_t requests);
   void count_adoption(const std::string& result);
   /// A step to get a version that a peer has and this daemon has not.
   void count_catch_up(const std::string& source);
@@ -50,6 +56,9 @@
   prometheus::Family<prometheus::Histogram>* caller_latency_;
   prometheus::Family<prometheus::Counter>* refusals_;
   prometheus::Family<prometheus::Counter>* claims_;
+  prometheus::Family<prometheus::Counter>* departed_callers_;
+  prometheus::Family<prometheus::Counter>* cancellations_;
+  prometheus::Family<prometheus::Counter>* work_of_lost_links_;
   prometheus::Family<prometheus::Counter>* adoptions_;
   prometheus::Family<prometheus::Counter>* catch_ups_;
   prometheus::Histogram* configuration_lag_;
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -257,6 +257,7 @@
     if (!same) {
       continue;
     }
+    shared_.counters.count_cancellation(one->running ? "running" : "waiting");
     if (!one->running) {
       queue_.withdraw(ticket);
       refuse(one, "cancelled", duration::zero());
@@ -271,6 +272,25 @@
     // A request that may run only once is left to finish: its effect is worth more than the slot.
     return;
   }
+  shared_.counters.count_cancellation("unmatched");
+  shared_.log.request(log_level::info, "cancellation_unmatched",
+                      {{"from", from.str()}, {"call", id}});
+}
+
+void inbound_gateway::peer_lost(const instance_name& peer) {
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+  for (const auto& [ticket, one] : work_) {
+    if (one->from == peer) {
+      ++(one->running ? running : waiting);
+    }
+  }
+  if (waiting + running > 0) {
+    shared_.counters.count_work_of_lost_link("waiting", waiting);
+    shared_.counters.count_work_of_lost_link("running", running);
+    shared_.log.warning("peer_lost_with_work",
+                        {{"peer", peer.str()}, {"waiting", waiting}, {"running", running}});
+  }
 }
 
 wire::call_status_answer inbound_gateway::status(const instance_name& from,
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -33,6 +33,8 @@
 
   void receive(const instance_name& from, const wire::call& request);
   void cancel(const instance_name& from, std::uint64_t sender_incarnation, wire::request_id id);
+  /// The last link to a peer is lost.
+  void peer_lost(const instance_name& peer);
   [[nodiscard]] wire::call_status_answer status(const instance_name& from,
                                                 const wire::call_status& query);
 
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -56,6 +56,10 @@
       self->caller_gone();
     }
   });
+  if (exchange_->client_has_left()) {
+    shared_.counters.count_departed_caller("unread");
+    shared_.log.request(log_level::warning, "caller_gone_unread", {{"request", attempt_id_}});
+  }
   if (!find_route()) {
     return;
   }
@@ -267,6 +271,7 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
+  shared_.counters.count_departed_caller("waiting");
   shared_.log.request(log_level::info, "caller_gone",
                       {{"request", attempt_id_},
                        {"waited_ms", to_ms(shared_.loop.now() - arrived_at_)},
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -85,11 +85,15 @@
                    [this] { return configurations_->current(); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
-      [this](const wire::call& request) { gateway_->receive(shared_.self.name, request); },
-      [this](wire::request_id id) {
-        gateway_->cancel(shared_.self.name, shared_.self.incarnation, id);
-      },
-      [this] { counters_.count_unmatched_answer(); });
+      call_router::handlers{
+          [this](const wire::call& request) { gateway_->receive(shared_.self.name, request); },
+          [this](wire::request_id id) {
+            gateway_->cancel(shared_.self.name, shared_.self.incarnation, id);
+          },
+          [this] { counters_.count_unmatched_answer(); },
+          [this](const instance_name& to, wire::request_id id, bool sent) {
+            call_cancelled(to, id, sent);
+          }});
   services_ = std::make_unique<outbound_services>(outbound_services{
       shared_, *router_, upstreams_, rotation_, retries_,
       [this] { return configurations_->current(); }, [this] { return finder_->daemon_count(); }});
@@ -281,6 +285,15 @@
   configurations_->peer_lost(peer);
   upstreams_.remove(peer);
   router_->peer_lost(peer);
+  gateway_->peer_lost(peer);
+}
+
+void sidecar_daemon::call_cancelled(const instance_name& to, wire::request_id id, bool sent) {
+  counters_.count_cancellation(sent ? "sent" : "not_sent");
+  if (!sent) {
+    log_.request(log_level::warning, "cancellation_not_sent",
+                 {{"upstream", to.str()}, {"call", id}});
+  }
 }
 
 void sidecar_daemon::status_changed() {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -59,6 +59,7 @@
   void record_received(const instance_name& peer, const instance_record& record);
   void departure_received(const wire::target_departed& content);
   void peer_lost(const instance_name& peer, const std::string& reason);
+  void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
   void configuration_adopted(const route_table_pointer& table);
   void answer_readiness(http_exchange& exchange);
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "transport/socket_options.h"
+#include "transport/socket_state.h"
 #include "transport/stream_input.h"
 #include "transport/stream_output.h"
 #include "transport/tcp_listener.h"
@@ -106,6 +107,10 @@
     }
   }
 
+  [[nodiscard]] bool client_has_left() const {
+    return stream_ == nullptr || peer_has_closed(bufferevent_getfd(stream_));
+  }
+
   /// Applies the timeouts of the client's side.
   void check_timeouts(const http_server_limits& limits, time_point now) {
     const duration quiet = now - active_at_;
@@ -303,6 +308,10 @@
   }
 }
 
+bool http_exchange::client_has_left() const {
+  return disconnected_ || connection_->client_has_left();
+}
+
 void http_exchange::respond(const http_response& answer) {
   if (answered_ || disconnected_) {
     return;
