Make the calls between daemons and their queue testable on a virtual clock

One difference: a result of the target that was on its way through the loop when its request was cancelled no longer answers the request a second time.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -21,13 +21,14 @@
 
 }  // namespace
 
-call_router::call_router(event_loop& loop, peer_process self, peer_mesh& mesh, handlers callbacks)
-    : loop_(loop),
+call_router::call_router(timer_service& timers, peer_process self, peer_links& links,
+                         handlers callbacks)
+    : timers_(timers),
       self_(std::move(self)),
-      mesh_(mesh),
+      links_(links),
       callbacks_(std::move(callbacks)),
       next_id_(first_id_of(self_.incarnation)) {
-  message_dispatcher& dispatcher = mesh_.dispatcher();
+  message_dispatcher& dispatcher = links_.dispatcher();
   dispatcher.on<wire::call_answer>([this](const auto& from, const wire::call_answer& answer) {
     if (const auto outcome = pending_.answer(answer, process_of(from))) {
       finish(*outcome);
@@ -40,12 +41,12 @@
       finish(*outcome);
     }
   });
-  timer_ = loop_.every(expiry_interval, [this] { expire(); });
+  timer_ = timers_.every(expiry_interval, [this] { expire(); });
 }
 
 peer_process call_router::process_of(const instance_name& name) const {
   const bool local = name == self_.name;
-  return {name, local ? self_.incarnation : mesh_.incarnation_of(name)};
+  return {name, local ? self_.incarnation : links_.incarnation_of(name)};
 }
 
 wire::request_id call_router::send(const instance_name& to, wire::call request, time_point deadline,
@@ -60,14 +61,14 @@
   one.idempotent = request.idempotent;
   if (to == self_.name) {
     pending_.add(id, process_of(to), deadline, true);
-    loop_.post([this, request = std::move(request)] { callbacks_.deliver_locally(request); });
+    timers_.post([this, request = std::move(request)] { callbacks_.deliver_locally(request); });
     return id;
   }
   one.unsent = std::move(request);
-  if (mesh_.linked(to)) {
+  if (links_.linked(to)) {
     write(id, one);
   } else {
-    mesh_.ensure_link(to);
+    links_.ensure_link(to);
   }
   return id;
 }
@@ -76,13 +77,13 @@
   // Taken out first: its outcome is settled here, and a link that opens before the outcome is
   // delivered must not send it again.
   const wire::call request = *std::exchange(one.unsent, std::nullopt);
-  if (mesh_.send(one.to, request)) {
+  if (links_.send(one.to, request)) {
     pending_.add(id, process_of(one.to), one.deadline, true);
     return;
   }
   const call_outcome outcome{id, process_of(one.to), verdict::not_run, std::nullopt,
                              link_unavailable_reason};
-  loop_.post([this, outcome] { finish(outcome); });
+  timers_.post([this, outcome] { finish(outcome); });
 }
 
 void call_router::cancel(wire::request_id id) {
@@ -96,7 +97,7 @@
     callbacks_.cancel_locally(id);
   } else {
     const instance_name to = found->second.to;
-    callbacks_.cancelled(to, id, mesh_.send(to, wire::call_cancel{id}));
+    callbacks_.cancelled(to, id, links_.send(to, wire::call_cancel{id}));
   }
 }
 
@@ -120,7 +121,7 @@
   const auto queries = to_query_.find(peer);
   if (queries != to_query_.end()) {
     for (const wire::request_id id : queries->second) {
-      mesh_.send(peer, wire::call_status{id, self_.incarnation});
+      links_.send(peer, wire::call_status{id, self_.incarnation});
     }
     to_query_.erase(queries);
   }
@@ -149,7 +150,7 @@
   if (queries.empty()) {
     to_query_.erase(peer);
   } else {
-    mesh_.ensure_link(peer);
+    links_.ensure_link(peer);
   }
 }
 
@@ -171,7 +172,7 @@
 }
 
 void call_router::expire() {
-  const time_point now = loop_.now();
+  const time_point now = timers_.now();
   for (const call_outcome& outcome : pending_.expire(now)) {
     finish(outcome);
   }
@@ -186,7 +187,7 @@
             "the deadline passed before a link was open"});
   }
   for (const auto& [peer, ids] : to_query_) {
-    mesh_.ensure_link(peer);
+    links_.ensure_link(peer);
   }
 }
 
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "daemon/peer_mesh.h"
+#include "daemon/peer_links.h"
 #include "link/pending_calls.h"
-#include "transport/event_loop.h"
+#include "transport/timer_service.h"
 #include "wire/message.h"
 
 namespace crocusdoor {
@@ -34,7 +34,7 @@
     std::function<void(const instance_name& to, wire::request_id, bool sent)> cancelled;
   };
 
-  call_router(event_loop& loop, peer_process self, peer_mesh& mesh, handlers callbacks);
+  call_router(timer_service& timers, peer_process self, peer_links& links, handlers callbacks);
 
   /// Sends a call; its id and sender are filled in. `done` is called exactly once, in a later turn
   /// of the loop and at the latest after `deadline`.
@@ -71,9 +71,9 @@
   void expire();
   peer_process process_of(const instance_name& name) const;
 
-  event_loop& loop_;
+  timer_service& timers_;
   peer_process self_;
-  peer_mesh& mesh_;
+  peer_links& links_;
   handlers callbacks_;
   pending_calls pending_;
   std::map<wire::request_id, waiting_call> calls_;
--- /dev/null
+++ b/Source/daemon/peer_links.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+
+#include "daemon/message_dispatcher.h"
+#include "wire/message.h"
+
+namespace crocusdoor {
+
+/// The links to other daemons, as those who send messages over them need them.
+class peer_links {
+ public:
+  peer_links() = default;
+  virtual ~peer_links() = default;
+  peer_links(const peer_links&) = delete;
+  peer_links& operator=(const peer_links&) = delete;
+
+  [[nodiscard]] virtual message_dispatcher& dispatcher() noexcept = 0;
+  /// Sends over an open link; false if there is none. The message was then not written.
+  virtual bool send(const instance_name& peer, const wire::message& content) = 0;
+  /// Opens a link to an instance unless one is open or being opened.
+  virtual void ensure_link(const instance_name& peer) = 0;
+  [[nodiscard]] virtual bool linked(const instance_name& peer) const = 0;
+  /// Incarnation of the process at the other end, as of its latest `hello`; 0 if there was none.
+  [[nodiscard]] virtual std::uint64_t incarnation_of(const instance_name& peer) const = 0;
+};
+
+}  // namespace crocusdoor
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "core/random_source.h"
-#include "daemon/message_dispatcher.h"
+#include "daemon/peer_links.h"
 #include "daemon/peer_session.h"
 #include "transport/event_loop.h"
 #include "transport/tcp_listener.h"
@@ -19,7 +19,7 @@
 /// All links of this daemon to other daemons. A peer may be reached over several sessions at the
 /// same time, when both ends connect at once or one has gone silent; messages take the one that was
 /// heard most recently.
-class peer_mesh {
+class peer_mesh : public peer_links {
  public:
   struct configuration {
     instance_name self;
@@ -60,30 +60,27 @@
 
   peer_mesh(event_loop& loop, random_source& random, configuration settings, handlers callbacks);
   /// Closes all links; no handler is called any more.
-  ~peer_mesh();
+  ~peer_mesh() override;
   peer_mesh(const peer_mesh&) = delete;
   peer_mesh& operator=(const peer_mesh&) = delete;
 
-  [[nodiscard]] message_dispatcher& dispatcher() noexcept { return dispatcher_; }
+  [[nodiscard]] message_dispatcher& dispatcher() noexcept override { return dispatcher_; }
 
   /// Opens a link to an endpoint whose instance is not known yet.
   void dial(const ip_endpoint& remote);
-  /// Opens a link to an instance unless one is open or being opened.
-  void ensure_link(const instance_name& peer);
+  void ensure_link(const instance_name& peer) override;
   /// Keeps links to exactly these instances open, with back-off between attempts.
   void set_permanent_peers(std::set<instance_name> peers);
 
-  /// Sends over an open link; false if there is none. The message was then not written.
-  bool send(const instance_name& peer, const wire::message& content);
+  bool send(const instance_name& peer, const wire::message& content) override;
   /// Sends to every linked peer but one.
   void send_to_all(const wire::message& content, const instance_name& except = {});
   void announce_version();
   /// Tells one peer the version in force at once.
   void announce_version(const instance_name& peer);
 
-  [[nodiscard]] bool linked(const instance_name& peer) const;
-  /// Incarnation of the process at the other end, as of its latest `hello`; 0 if there was none.
-  [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const;
+  [[nodiscard]] bool linked(const instance_name& peer) const override;
+  [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const override;
   [[nodiscard]] std::vector<instance_name> linked_peers() const;
   [[nodiscard]] std::uint64_t bytes_sent() const;
   [[nodiscard]] std::uint64_t bytes_received() const;
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -5,19 +5,16 @@
 #include <memory>
 #include <string>
 
-#include "link/request_ledger.h"
-#include "mesh/failure_share.h"
 #include "mesh/route_table.h"
-#include "mesh/slot_queue.h"
 #include "mesh/target_answer.h"
 #include "mesh/target_registry.h"
+#include "sidecar/inbound_work.h"
 #include "sidecar/sidecar_context.h"
 #include "transport/http_client.h"
 
 namespace crocusdoor {
 
-/// The target side: admits the requests for the target beside this daemon and runs them there.
-/// Every request gets exactly one answer.
+/// The target side: knows the target beside this daemon and runs the admitted requests there.
 class inbound_gateway {
  public:
   struct handlers {
@@ -31,12 +28,9 @@
 
   inbound_gateway(const sidecar_context& shared, handlers callbacks);
 
-  void receive(const instance_name& from, const wire::call& request);
-  void cancel(const instance_name& from, std::uint64_t sender_incarnation, wire::request_id id);
-  /// The last link to a peer is lost.
-  void peer_lost(const instance_name& peer);
-  [[nodiscard]] wire::call_status_answer status(const instance_name& from,
-                                                const wire::call_status& query);
+  /// The requests for the target.
+  [[nodiscard]] inbound_work& work() noexcept { return work_; }
+  [[nodiscard]] const inbound_work& work() const noexcept { return work_; }
 
   announcement_result announce(const target_announcement& said);
   announcement_result withdraw(const target_withdrawal& said);
@@ -47,24 +41,16 @@
 
   [[nodiscard]] bool takes_requests() const { return registry_.takes_requests(); }
   [[nodiscard]] const target_registry& registry() const noexcept { return registry_; }
-  [[nodiscard]] load_report load() const;
-  /// Requests that wait or run.
-  [[nodiscard]] std::size_t active() const noexcept { return work_.size(); }
   [[nodiscard]] std::uint64_t connections_opened() const { return target_.connections_opened(); }
 
  private:
-  struct work;
-  using work_pointer = std::shared_ptr<work>;
-
-  void run(const work_pointer& one);
-  [[nodiscard]] std::string attempt_id_of(const wire::call& request) const;
-  [[nodiscard]] http_request outgoing_request(const work_pointer& one) const;
+  [[nodiscard]] std::string reason_to_refuse(const service_name& service) const;
+  void run(const inbound_request_pointer& one);
+  void stop(std::uint64_t ticket);
+  [[nodiscard]] http_request outgoing_request(const inbound_request& one) const;
   [[nodiscard]] target_exchange classify(const http_result& result) const;
-  void target_answered(const work_pointer& one, const http_result& result);
+  void target_answered(const inbound_request_pointer& one, const http_result& result);
   void note_lost_target(target_exchange end);
-  void apply(const slot_changes& changes);
-  void refuse(const work_pointer& one, const std::string& reason, duration retry_after);
-  void answer(const work_pointer& one, wire::call_answer value);
   void target_changed();
   void tell_departure();
   void tick();
@@ -72,18 +58,14 @@
   const sidecar_context& shared_;
   handlers callbacks_;
   target_registry registry_;
-  slot_queue queue_;
-  request_ledger ledger_;
-  failure_share failures_;
+  inbound_work work_;
   http_client target_;
   http_client prober_;
-  std::map<std::uint64_t, work_pointer> work_;
-  std::uint64_t next_ticket_ = 1;
+  std::map<std::uint64_t, http_call> exchanges_;  ///< With the target, by ticket.
   bool takes_requests_ = false;
   std::optional<target_departure> told_departure_;
   time_point heard_at_{};  ///< Last heartbeat or answer of the target.
   timer_handle tick_timer_;
-  timer_handle ledger_timer_;
 };
 
 }  // namespace crocusdoor
--- /dev/null
+++ b/Source/sidecar/inbound_work.cpp
@@ -0,0 +1,197 @@
+#include "sidecar/inbound_work.h"
+
+#include <utility>
+
+namespace crocusdoor {
+
+namespace {
+
+constexpr duration queue_interval = std::chrono::milliseconds(20);
+constexpr duration ledger_interval = std::chrono::seconds(1);
+/// Less than this is no use to a target.
+constexpr duration least_time_left = std::chrono::milliseconds(3);
+constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
+constexpr double percent_of_one = 100;
+
+}  // namespace
+
+inbound_work::inbound_work(context shared, handlers callbacks)
+    : shared_(std::move(shared)), callbacks_(std::move(callbacks)) {
+  queue_timer_ =
+      shared_.timers.every(queue_interval, [this] { apply(queue_.expire(shared_.timers.now())); });
+  ledger_timer_ =
+      shared_.timers.every(ledger_interval, [this] { ledger_.expire(shared_.timers.now()); });
+}
+
+void inbound_work::receive(const instance_name& from, const wire::call& request) {
+  const time_point now = shared_.timers.now();
+  const receipt received = ledger_.receive(from, request.sender_incarnation, request.id, now);
+  if (received == receipt::duplicate) {
+    return;
+  }
+  const auto one = std::make_shared<inbound_request>();
+  one->from = from;
+  one->call = request;
+  one->deadline = now + request.deadline_left_ms;
+  one->ticket = next_ticket_++;
+  const std::string reason = received == receipt::refused
+                                 ? "request_id_refused"
+                                 : callbacks_.reason_to_refuse(request.service);
+  if (!reason.empty()) {
+    refuse(one, reason, leaving_retry_after);
+    return;
+  }
+  requests_[one->ticket] = one;
+  apply(queue_.offer({one->ticket, request.rank, request.work_class, one->deadline,
+                      now + request.objective_left_ms},
+                     now));
+}
+
+void inbound_work::apply(const slot_changes& changes) {
+  for (const refused_slot& refused : changes.refused) {
+    const auto found = requests_.find(refused.ticket);
+    if (found != requests_.end()) {
+      refuse(request_pointer(found->second), std::string(to_string(refused.reason)),
+             refused.retry_after);
+    }
+  }
+  for (const std::uint64_t ticket : changes.started) {
+    const auto found = requests_.find(ticket);
+    if (found != requests_.end()) {
+      start(request_pointer(found->second));
+    }
+  }
+}
+
+void inbound_work::start(const request_pointer& one) {
+  const time_point now = shared_.timers.now();
+  const bool too_late = one->deadline - now < least_time_left;
+  const std::string reason =
+      too_late ? "deadline_unreachable" : callbacks_.reason_to_refuse(one->call.service);
+  if (!reason.empty()) {
+    refuse(one, reason, leaving_retry_after);
+    apply(queue_.finished(one->ticket, now));
+    return;
+  }
+  one->started_at = now;
+  ledger_.set_running(one->from, one->call.sender_incarnation, one->call.id);
+  callbacks_.start(one);
+}
+
+void inbound_work::finish(const inbound_request_pointer& one, wire::call_answer value,
+                          bool failed) {
+  if (!requests_.contains(one->ticket)) {
+    return;  // Cancelled while the result was on its way through the loop.
+  }
+  const time_point now = shared_.timers.now();
+  failures_.record(failed, now);
+  const slot_changes changes = queue_.finished(one->ticket, now);
+  answer(*one, std::move(value));
+  apply(changes);
+}
+
+void inbound_work::refuse(const request_pointer& one, const std::string& reason,
+                          duration retry_after) {
+  shared_.log.request(log_level::info, "refused_at_target",
+                      {{"request", attempt_id_of(*one)},
+                       {"from", one->from.str()},
+                       {"reason", reason},
+                       {"slots_in_use", queue_.slots_in_use()},
+                       {"queued", queue_.queued()}});
+  shared_.counters.count_refusal(reason);
+  wire::call_answer value;
+  value.outcome = verdict::not_run;
+  value.reason = reason;
+  value.reached_target = false;
+  value.retry_after_ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after);
+  answer(*one, std::move(value));
+}
+
+void inbound_work::answer(const inbound_request& one, wire::call_answer value) {
+  value.id = one.call.id;
+  value.load = load();
+  ledger_.set_done(one.from, one.call.sender_incarnation, value, shared_.timers.now());
+  const instance_name to = one.from;
+  requests_.erase(one.ticket);
+  callbacks_.send_answer(to, value);
+}
+
+inbound_work::request_pointer inbound_work::find(const instance_name& from,
+                                                 std::uint64_t sender_incarnation,
+                                                 wire::request_id id) const {
+  for (const auto& [ticket, one] : requests_) {
+    if (one->from == from && one->call.id == id &&
+        one->call.sender_incarnation == sender_incarnation) {
+      return one;
+    }
+  }
+  return nullptr;
+}
+
+void inbound_work::cancel(const instance_name& from, std::uint64_t sender_incarnation,
+                          wire::request_id id) {
+  const request_pointer one = find(from, sender_incarnation, id);
+  if (one == nullptr) {
+    shared_.counters.count_cancellation("unmatched");
+    shared_.log.request(log_level::info, "cancellation_unmatched",
+                        {{"from", from.str()}, {"call", id}});
+    return;
+  }
+  const bool running = one->started_at.has_value();
+  shared_.counters.count_cancellation(running ? "running" : "waiting");
+  if (!running) {
+    queue_.withdraw(one->ticket);
+    refuse(one, "cancelled", duration::zero());
+  } else if (one->call.idempotent) {
+    callbacks_.stop(one->ticket);
+    const slot_changes changes = queue_.finished(one->ticket, shared_.timers.now());
+    wire::call_answer value;
+    value.reason = "cancelled";
+    answer(*one, std::move(value));
+    apply(changes);
+  }
+  // A request that may run only once is left to finish: its effect is worth more than the slot.
+}
+
+void inbound_work::peer_lost(const instance_name& peer) {
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+  for (const auto& [ticket, one] : requests_) {
+    if (one->from == peer) {
+      ++(one->started_at.has_value() ? running : waiting);
+    }
+  }
+  if (waiting + running > 0) {
+    shared_.counters.count_work_of_lost_link("waiting", waiting);
+    shared_.counters.count_work_of_lost_link("running", running);
+    shared_.log.warning("peer_lost_with_work",
+                        {{"peer", peer.str()}, {"waiting", waiting}, {"running", running}});
+  }
+}
+
+wire::call_status_answer inbound_work::status(const instance_name& from,
+                                              const wire::call_status& query) {
+  return ledger_.query(from, query.sender_incarnation, query.id, shared_.timers.now());
+}
+
+void inbound_work::set_slots(std::int32_t slots) {
+  apply(queue_.set_slots(slots, shared_.timers.now()));
+}
+
+void inbound_work::refuse_waiting() {
+  apply(queue_.refuse_all());
+}
+
+std::string inbound_work::attempt_id_of(const inbound_request& one) const {
+  const auto found = one.call.headers.find(shared_.attempt_id_header);
+  return found == one.call.headers.end() ? std::string() : found->second;
+}
+
+load_report inbound_work::load() const {
+  load_report report = queue_.load();
+  report.failed_percent =
+      static_cast<std::int32_t>(failures_.value(shared_.timers.now()) * percent_of_one);
+  return report;
+}
+
+}  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -85,15 +85,17 @@
                    [this] { return configurations_->current(); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
-      call_router::handlers{
-          [this](const wire::call& request) { gateway_->receive(shared_.self.name, request); },
-          [this](wire::request_id id) {
-            gateway_->cancel(shared_.self.name, shared_.self.incarnation, id);
-          },
-          [this] { counters_.count_unmatched_answer(); },
-          [this](const instance_name& to, wire::request_id id, bool sent) {
-            call_cancelled(to, id, sent);
-          }});
+      call_router::handlers{[this](const wire::call& request) {
+                              gateway_->work().receive(shared_.self.name, request);
+                            },
+                            [this](wire::request_id id) {
+                              gateway_->work().cancel(shared_.self.name, shared_.self.incarnation,
+                                                      id);
+                            },
+                            [this] { counters_.count_unmatched_answer(); },
+                            [this](const instance_name& to, wire::request_id id, bool sent) {
+                              call_cancelled(to, id, sent);
+                            }});
   services_ = std::make_unique<outbound_services>(outbound_services{
       shared_, *router_, upstreams_, rotation_, retries_,
       [this] { return configurations_->current(); }, [this] { return finder_->daemon_count(); }});
@@ -157,7 +159,7 @@
   };
   callbacks.configuration_version = [this] { return configurations_->version(); };
   callbacks.configuration_digest = [] { return digest(); };
-  callbacks.load = [this] { return std::optional(gateway_->load()); };
+  callbacks.load = [this] { return std::optional(gateway_->work().load()); };
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
     peer_introduced(peer, greeting.self);
@@ -188,13 +190,13 @@
 void sidecar_daemon::connect_dispatcher() {
   message_dispatcher& dispatcher = mesh_->dispatcher();
   dispatcher.on<wire::call>([this](const instance_name& from, const wire::call& request) {
-    gateway_->receive(from, request);
+    gateway_->work().receive(from, request);
   });
   dispatcher.on<wire::call_cancel>([this](const instance_name& from, const auto& content) {
-    gateway_->cancel(from, mesh_->incarnation_of(from), content.id);
+    gateway_->work().cancel(from, mesh_->incarnation_of(from), content.id);
   });
   dispatcher.on<wire::call_status>([this](const instance_name& from, const auto& query) {
-    mesh_->send(from, gateway_->status(from, query));
+    mesh_->send(from, gateway_->work().status(from, query));
   });
   dispatcher.on<wire::records>([this](const instance_name& from, const wire::records& content) {
     for (const instance_record& record : content.changed) {
@@ -285,7 +287,7 @@
   configurations_->peer_lost(peer);
   upstreams_.remove(peer);
   router_->peer_lost(peer);
-  gateway_->peer_lost(peer);
+  gateway_->work().peer_lost(peer);
 }
 
 void sidecar_daemon::call_cancelled(const instance_name& to, wire::request_id id, bool sent) {
@@ -329,7 +331,7 @@
 }
 
 void sidecar_daemon::answer_metrics(http_exchange& exchange) {
-  const load_report load = gateway_->load();
+  const load_report load = gateway_->work().load();
   counters_.slots_in_use().Set(load.slots_in_use);
   counters_.queue_length().Set(load.queued);
   counters_.live_instances().Set(static_cast<double>(mesh_->linked_peers().size() + 1));
@@ -349,7 +351,8 @@
   stop_began_ = loop_.now();
   busy_at_ = stop_began_;
   configurations_->leave();
-  log_.info("stop_began", {{"callers", callers_->active()}, {"running", gateway_->active()}});
+  log_.info("stop_began",
+            {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
   status_changed();
   if (!gateway_->takes_requests()) {
     finder_->withdraw();
@@ -378,11 +381,11 @@
 }
 
 bool sidecar_daemon::idle() const {
-  return callers_->active() == 0 && gateway_->active() == 0;
+  return callers_->active() == 0 && gateway_->work().active() == 0;
 }
 
 void sidecar_daemon::finish_stop() {
-  log_.info("stopped", {{"callers", callers_->active()}, {"running", gateway_->active()}});
+  log_.info("stopped", {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
   loop_.stop();
 }
 
--- a/Source/transport/event_loop.h
+++ b/Source/transport/event_loop.h
@@ -24,7 +24,7 @@
   [[nodiscard]] timer_handle after(duration delay, std::function<void()> action) override;
   [[nodiscard]] timer_handle every(duration interval, std::function<void()> action) override;
   /// Runs `action` in the next turn of the loop.
-  void post(std::function<void()> action);
+  void post(std::function<void()> action) override;
   /// Runs `action` in the loop when the process receives the signal.
   void on_signal(int signal_number, std::function<void()> action);
 
--- a/Source/transport/timer_service.h
+++ b/Source/transport/timer_service.h
@@ -23,6 +23,8 @@
   [[nodiscard]] virtual timer_handle after(duration delay, std::function<void()> action) = 0;
   /// Runs `action` each `interval` until the handle is destroyed.
   [[nodiscard]] virtual timer_handle every(duration interval, std::function<void()> action) = 0;
+  /// Runs `action` soon, after what the caller does now.
+  virtual void post(std::function<void()> action) = 0;
 };
 
 }  // namespace crocusdoor
--- a/Tests/sidecar/process_timers.h
+++ b/Tests/sidecar/process_timers.h
@@ -16,6 +16,7 @@
   [[nodiscard]] time_point now() const override { return clock_.now(); }
   [[nodiscard]] timer_handle after(duration delay, std::function<void()> action) override;
   [[nodiscard]] timer_handle every(duration interval, std::function<void()> action) override;
+  void post(std::function<void()> action) override { post(duration::zero(), std::move(action)); }
   /// Runs `action` after `delay`, unless the process has ended until then.
   void post(duration delay, std::function<void()> action);
 
--- a/Tests/virtual_timers.h
+++ b/Tests/virtual_timers.h
@@ -29,6 +29,8 @@
     return one;
   }
 
+  void post(std::function<void()> action) override { post(duration::zero(), std::move(action)); }
+
   /// Runs `action` after `delay`; nothing cancels it.
   void post(duration delay, std::function<void()> action) {
     const auto one = std::make_shared<timer>(timer{std::move(action), duration::zero()});
