Send nothing on for a caller that has already closed its connection

What callers saw: nothing; targets ran requests whose callers had left. Cause: a connection's request and its close may wait in one socket while the loop stands still. The server hands the request over as soon as it is read; the close is a later event, and by then the request has been sent on.

Before each attempt, the first and each repeat, the connection is looked at (http_exchange::confirm_client: one recv with MSG_PEEK, and a poll for the end of the stream if bytes are before it). In both programs; a run-once request of crocusdoord goes on, as before. The log line is caller_gone with no attempts.

--- a/Source/daemon/caller_request.cpp
+++ b/Source/daemon/caller_request.cpp
@@ -166,6 +166,10 @@
 }
 
 void caller_request::send_attempt() {
+  // A run-once request goes on without its caller, so that its outcome is recorded.
+  if (!finished_ && !call_.claim_held.has_value() && !exchange_->confirm_client()) {
+    return;
+  }
   const time_point now = services_.shared.loop.now();
   const auto left = deadline_rule().left_for_next_hop(deadline_, now);
   if (!left.has_value() || finished_) {
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -56,10 +56,6 @@
       self->caller_gone();
     }
   });
-  if (exchange_->client_has_left()) {
-    shared_.counters.count_departed_caller("unread");
-    shared_.log.request(log_level::warning, "caller_gone_unread", {{"request", attempt_id_}});
-  }
   if (!find_route()) {
     return;
   }
@@ -119,6 +115,9 @@
 }
 
 void outbound_request::send_attempt() {
+  if (!exchange_->confirm_client()) {
+    return;
+  }
   const time_point now = shared_.loop.now();
   const placement place =
       services_.upstreams.choose({service_, call_.work_class, route_.rank, tried_,
@@ -271,7 +270,7 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
-  shared_.counters.count_departed_caller("waiting");
+  shared_.counters.count_departed_caller(attempts_.empty() ? "unread" : "waiting");
   shared_.log.request(log_level::info, "caller_gone",
                       {{"request", attempt_id_},
                        {"waited_ms", to_ms(shared_.loop.now() - arrived_at_)},
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -308,8 +308,11 @@
   }
 }
 
-bool http_exchange::client_has_left() const {
-  return disconnected_ || connection_->client_has_left();
+bool http_exchange::confirm_client() {
+  if (!answered_ && !disconnected_ && connection_->client_has_left()) {
+    client_gone();
+  }
+  return !disconnected_;
 }
 
 void http_exchange::respond(const http_response& answer) {
@@ -331,7 +334,7 @@
 }
 
 void http_exchange::client_gone() {
-  if (answered_) {
+  if (answered_ || disconnected_) {
     return;
   }
   disconnected_ = true;
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -27,8 +27,9 @@
   [[nodiscard]] const http_request& request() const noexcept { return request_; }
   /// Whether the client has closed its connection; an answer is then dropped.
   [[nodiscard]] bool disconnected() const noexcept { return disconnected_; }
-  /// Whether the client has closed its connection, even if the loop has not noticed it yet.
-  [[nodiscard]] bool client_has_left() const;
+  /// Looks at the connection whether the client still waits, because the loop may not have come to
+  /// its close yet. If it has left, the action of `on_disconnect` is called now.
+  [[nodiscard]] bool confirm_client();
   /// Sends the answer; only the first call has an effect.
   void respond(const http_response& answer);
   /// Closes the connection without an answer. Not to be called from within the server's handler;
