Start a call only after all that its sender has sent has been read

What callers saw: nothing; targets ran requests up to 2.7 s after their callers had left. Cause: a daemon whose loop stood still started each call as it read it, while the cancellation was behind it in the same socket; libevent reads 4 KB of a connection in a turn. Waiting calls had the same fault: an answer of the target that was read first freed their slot.

A call that has its slot starts in the next turn of the loop, after inbound_work has read what its sender has sent (peer_link::read_arrived), and only if the sender can still be told of an outcome. A cancellation of a call that is not here is recorded as "never received", so that the call is refused if it comes later by another link. The slot of a call that did not run is freed without counting as a service time.

--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -149,6 +149,17 @@
   return session != nullptr && session->send(content);
 }
 
+bool peer_mesh::read_from(const instance_name& peer) {
+  const auto found = sessions_.find(peer);
+  if (found != sessions_.end()) {
+    const session_list open = found->second;
+    for (const auto& session : open) {
+      session->link()->read_arrived();
+    }
+  }
+  return linked(peer);
+}
+
 void peer_mesh::send_to_all(const wire::message& content, const instance_name& except) {
   for (const instance_name& peer : linked_peers()) {
     if (peer != except) {
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -73,6 +73,9 @@
   void set_permanent_peers(std::set<instance_name> peers);
 
   bool send(const instance_name& peer, const wire::message& content) override;
+  /// Reads what a peer has sent already, without waiting for the loop to come to it; whether the
+  /// peer still has a link. Not to be called while a message of the peer is handled.
+  bool read_from(const instance_name& peer);
   /// Sends to every linked peer but one.
   void send_to_all(const wire::message& content, const instance_name& except = {});
   void announce_version();
--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -118,6 +118,11 @@
   return changes;
 }
 
+slot_changes slot_queue::release(std::uint64_t ticket, time_point now) {
+  running_.erase(ticket);
+  return finished(ticket, now);
+}
+
 bool slot_queue::withdraw(std::uint64_t ticket) {
   return std::erase_if(waiting_, [&](const auto& entry) {
            return entry.second.request.ticket == ticket;
--- a/Source/mesh/slot_queue.h
+++ b/Source/mesh/slot_queue.h
@@ -64,6 +64,8 @@
   [[nodiscard]] slot_changes offer(const slot_request& request, time_point now);
   /// Frees the slot of a request that has run.
   [[nodiscard]] slot_changes finished(std::uint64_t ticket, time_point now);
+  /// Frees the slot of a request that has not run after all.
+  [[nodiscard]] slot_changes release(std::uint64_t ticket, time_point now);
   /// Removes a waiting request; false if it does not wait.
   bool withdraw(std::uint64_t ticket);
   /// Refuses the waiting requests that can no longer be answered in time.
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -41,7 +41,7 @@
       callbacks_(std::move(callbacks)),
       work_({shared.loop, shared.log, shared.counters, shared.contract.headers.attempt_id},
             {[this](const service_name& service) { return reason_to_refuse(service); },
-             [this](const inbound_request_pointer& one) { run(one); },
+             callbacks_.hear_sender, [this](const inbound_request_pointer& one) { run(one); },
              [this](std::uint64_t ticket) { stop(ticket); }, callbacks_.send_answer}),
       target_(shared.loop, shared.options.target.endpoint, target_client_options()),
       prober_(shared.loop, shared.options.target.endpoint, {}) {
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "wire/message_fields.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr duration least_time_left = std::chrono::milliseconds(3);
 constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 constexpr double percent_of_one = 100;
+constexpr const char* link_lost_reason = "link_lost";
 
 }  // namespace
 
@@ -55,22 +58,43 @@
              refused.retry_after);
     }
   }
-  for (const std::uint64_t ticket : changes.started) {
-    const auto found = requests_.find(ticket);
-    if (found != requests_.end()) {
-      start(request_pointer(found->second));
+  admitted_.insert(admitted_.end(), changes.started.begin(), changes.started.end());
+  if (!admitted_.empty() && start_timer_ == nullptr) {
+    start_timer_ = shared_.timers.after(duration::zero(), [this] { start_admitted(); });
+  }
+}
+
+void inbound_work::start_admitted() {
+  std::map<instance_name, bool> reachable;
+  while (!admitted_.empty()) {
+    const auto found = requests_.find(admitted_.front());
+    if (found == requests_.end()) {
+      admitted_.pop_front();
+      continue;
+    }
+    const request_pointer one = found->second;
+    const auto [sender, unheard] = reachable.try_emplace(one->from, true);
+    if (unheard) {
+      // What is heard may cancel this request or others.
+      sender->second = callbacks_.hear_sender(one->from);
+      continue;
     }
+    admitted_.pop_front();
+    start(one, sender->second);
   }
+  start_timer_ = nullptr;
 }
 
-void inbound_work::start(const request_pointer& one) {
+void inbound_work::start(const request_pointer& one, bool sender_reachable) {
   const time_point now = shared_.timers.now();
-  const bool too_late = one->deadline - now < least_time_left;
-  const std::string reason =
-      too_late ? "deadline_unreachable" : callbacks_.reason_to_refuse(one->call.service);
+  std::string reason = callbacks_.reason_to_refuse(one->call.service);
+  if (!sender_reachable) {
+    reason = link_lost_reason;
+  } else if (one->deadline - now < least_time_left) {
+    reason = "deadline_unreachable";
+  }
   if (!reason.empty()) {
-    refuse(one, reason, leaving_retry_after);
-    apply(queue_.finished(one->ticket, now));
+    drop(one, reason, leaving_retry_after);
     return;
   }
   one->started_at = now;
@@ -78,6 +102,15 @@
   callbacks_.start(one);
 }
 
+void inbound_work::drop(const request_pointer& one, const std::string& reason,
+                        duration retry_after) {
+  const bool waited = queue_.withdraw(one->ticket);
+  refuse(one, reason, retry_after);
+  if (!waited) {
+    apply(queue_.release(one->ticket, shared_.timers.now()));
+  }
+}
+
 void inbound_work::finish(const inbound_request_pointer& one, wire::call_answer value,
                           bool failed) {
   if (!requests_.contains(one->ticket)) {
@@ -132,16 +165,19 @@
                           wire::request_id id) {
   const request_pointer one = find(from, sender_incarnation, id);
   if (one == nullptr) {
+    // The call may arrive later, by a link that was opened before this one.
+    const wire::call_status_answer known =
+        ledger_.query(from, sender_incarnation, id, shared_.timers.now());
     shared_.counters.count_cancellation("unmatched");
-    shared_.log.request(log_level::info, "cancellation_unmatched",
-                        {{"from", from.str()}, {"call", id}});
+    shared_.log.request(
+        log_level::info, "cancellation_unmatched",
+        {{"from", from.str()}, {"call", id}, {"progress", std::string(to_string(known.progress))}});
     return;
   }
   const bool running = one->started_at.has_value();
   shared_.counters.count_cancellation(running ? "running" : "waiting");
   if (!running) {
-    queue_.withdraw(one->ticket);
-    refuse(one, "cancelled", duration::zero());
+    drop(one, "cancelled", duration::zero());
   } else if (one->call.idempotent) {
     callbacks_.stop(one->ticket);
     const slot_changes changes = queue_.finished(one->ticket, shared_.timers.now());
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,9 @@
 
 /// The calls that wait for the target beside this daemon or run there. Each gets exactly one
 /// answer, which is kept for a sender that asks again after a lost link.
+///
+/// A call starts only after everything that its sender has sent has been read: a loop that stood
+/// still may read a call long after it was sent, with its cancellation behind it.
 class inbound_work {
  public:
   struct context {
@@ -42,6 +46,8 @@
   struct handlers {
     /// Why the target cannot take a request for a service now; empty if it can.
     std::function<std::string(const service_name&)> reason_to_refuse;
+    /// Takes in what a sender has sent already; whether it can be told of an outcome.
+    std::function<bool(const instance_name& from)> hear_sender;
     /// Hands a request to the target; `finish` takes the answer.
     std::function<void(const inbound_request_pointer&)> start;
     /// Gives up what was handed to the target.
@@ -78,7 +84,10 @@
   [[nodiscard]] request_pointer find(const instance_name& from, std::uint64_t sender_incarnation,
                                      wire::request_id id) const;
   void apply(const slot_changes& changes);
-  void start(const request_pointer& one);
+  void start_admitted();
+  void start(const request_pointer& one, bool sender_reachable);
+  /// Takes back a request that has not been handed to the target, and refuses it.
+  void drop(const request_pointer& one, const std::string& reason, duration retry_after);
   void refuse(const request_pointer& one, const std::string& reason, duration retry_after);
   void answer(const inbound_request& one, wire::call_answer value);
 
@@ -88,6 +97,8 @@
   request_ledger ledger_;
   failure_share failures_;
   std::map<std::uint64_t, request_pointer> requests_;
+  std::deque<std::uint64_t> admitted_;  ///< Have a slot and start next.
+  timer_handle start_timer_;
   std::uint64_t next_ticket_ = 1;
   timer_handle queue_timer_;
   timer_handle ledger_timer_;
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -77,6 +77,9 @@
                        mesh_->send(to, answer);
                      }
                    },
+                   [this](const instance_name& from) {
+                     return from == shared_.self.name || mesh_->read_from(from);
+                   },
                    [this] { status_changed(); },
                    [this](const target_departure& departure) {
                      departure_received({shared_.self.name, departure.id, departure.born_ms});
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -4,7 +4,10 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/util.h>
+#include <sys/socket.h>
 
+#include <array>
+#include <cerrno>
 #include <utility>
 
 #include "core/error.h"
@@ -18,6 +21,9 @@
 namespace {
 
 constexpr timeval connect_timeout{3, 0};
+constexpr std::size_t read_size_bytes = 16'384;
+/// A peer that sends without end must not keep the loop busy.
+constexpr int reads_at_once = 64;
 
 }  // namespace
 
@@ -139,6 +145,31 @@
   }
 }
 
+void peer_link::read_arrived() {
+  const std::shared_ptr<peer_link> keep = shared_from_this();
+  std::array<char, read_size_bytes> bytes{};
+  for (int count = 0; open_ && !finishing_ && count < reads_at_once; ++count) {
+    const ssize_t size =
+        ::recv(bufferevent_getfd(connection_), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (size < 0) {
+      if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        close(evutil_socket_error_to_string(errno));
+      }
+      return;
+    }
+    if (size == 0) {
+      close("peer closed the connection");
+      return;
+    }
+    bytes_received_ += static_cast<std::uint64_t>(size);
+    session_.receive(bytes.data(), static_cast<std::size_t>(size));
+    write_out();
+    if (static_cast<std::size_t>(size) < bytes.size()) {
+      return;
+    }
+  }
+}
+
 void peer_link::deliver(const std::string& payload) {
   if (finishing_) {
     return;
--- a/Source/transport/peer_link.h
+++ b/Source/transport/peer_link.h
@@ -43,6 +43,10 @@
   /// was then not written and will not be.
   bool send(const wire::envelope& value);
 
+  /// Reads and delivers what has arrived, without waiting for the loop to come to it. Not to be
+  /// called from a handler of this link.
+  void read_arrived();
+
   /// Ends the connection; `closed` is called in a later turn of the loop.
   void close(std::string reason);
 
--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -132,6 +132,7 @@
       inbound_work::context{*one.timers, *one.log, one.counters, number_header},
       inbound_work::handlers{
           [](const service_name&) { return std::string(); },
+          [this, index](const instance_name& from) { return hear(index, from); },
           [this, index](const inbound_request_pointer& asked) { target_starts(index, asked); },
           [&one](std::uint64_t ticket) { one.runs.erase(ticket); },
           [&one](const instance_name& to, const wire::call_answer& answer) {
@@ -267,6 +268,19 @@
   }
 }
 
+bool request_model::hear(std::size_t reader, const instance_name& peer) {
+  if (peer == processes_[reader]->name) {
+    return true;
+  }
+  for (const session_pointer& session : std::vector<session_pointer>(sessions_)) {
+    const model_session::end& end = session->of(reader);
+    if (session->connects(reader, positions_.at(peer)) && end.start == processes_[reader]->starts) {
+      read(session, reader, end.unread.size());
+    }
+  }
+  return processes_[reader]->connections->linked(peer);
+}
+
 void request_model::session_ended(const session_pointer& session, std::size_t reader) {
   process& one = *processes_[reader];
   const std::size_t other = session->other(reader).process;
--- a/Tests/sidecar/request_model.h
+++ b/Tests/sidecar/request_model.h
@@ -96,6 +96,8 @@
   void arrive(const session_pointer& session, std::size_t to, std::optional<wire::message> content);
   void schedule_read(const session_pointer& session, std::size_t reader);
   void read(const session_pointer& session, std::size_t reader, std::size_t most);
+  /// Takes in all that a peer has sent; whether it still has a connection.
+  bool hear(std::size_t reader, const instance_name& peer);
   void session_ended(const session_pointer& session, std::size_t reader);
 
   void request_read(std::size_t number);
--- /dev/null
+++ b/Tests/transport/peer_link_test.cpp
@@ -0,0 +1,74 @@
+#include "transport/peer_link.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "transport/tcp_listener.h"
+
+namespace crocusdoor {
+
+namespace {
+
+/// A message that takes more than one read of the loop.
+wire::envelope large_call(wire::request_id id) {
+  wire::call call;
+  call.id = id;
+  call.service = service_name("s");
+  call.method = "POST";
+  call.path = "/";
+  call.body.bytes = std::string(10'000, 'x');
+  return {1, call};
+}
+
+}  // namespace
+
+TEST_CASE("what a peer has sent can be read before the loop comes to it", "[F7]") {
+  // Failure guarded against: the loop reads 4 KB of a connection in a turn, so a call was acted on
+  // while its cancellation was still in the socket behind it.
+  event_loop loop;
+  std::shared_ptr<peer_link> receiver;
+  std::size_t received = 0;
+  bool closed = false;
+  const peer_link::handlers receiving{[](peer_link&) {},
+                                      [&](peer_link&, const wire::envelope&) { ++received; },
+                                      [&](peer_link&, const std::string&) { closed = true; }};
+  tcp_listener listener(loop, {"127.0.0.1", 0}, [&](std::intptr_t descriptor) {
+    receiver = peer_link::accept(loop, descriptor, receiving);
+  });
+  bool opened = false;
+  const std::shared_ptr<peer_link> sender = peer_link::connect(
+      loop, {"127.0.0.1", listener.port()},
+      {[&](peer_link&) { opened = true; }, [](peer_link&, const wire::envelope&) {},
+       [](peer_link&, const auto&) {}});
+  const auto run_until = [&](const auto& condition) {
+    for (int turn = 0; turn < 1'000 && !condition(); ++turn) {
+      loop.run_once();
+    }
+    return condition();
+  };
+  REQUIRE(run_until([&] { return opened && receiver != nullptr && receiver->is_open(); }));
+
+  SECTION("several messages are read at once") {
+    for (wire::request_id id = 1; id <= 4; ++id) {
+      REQUIRE(sender->send(large_call(id)));
+    }
+    receiver->read_arrived();
+    CHECK(received == 4);
+  }
+  SECTION("the end of the connection is noticed behind them") {
+    REQUIRE(sender->send(large_call(1)));
+    sender->close("test");
+    REQUIRE(run_until([&] { return !sender->is_open(); }));
+    receiver->read_arrived();
+    CHECK(run_until([&] { return closed; }));
+    CHECK(received == 1);
+  }
+  SECTION("with nothing to read the link stays open") {
+    receiver->read_arrived();
+    CHECK(receiver->is_open());
+  }
+  sender->close("end of the test");
+  run_until([&] { return closed; });
+}
+
+}  // namespace crocusdoor
