Send a cancellation over the next link if there is none

What callers saw: nothing; calls waited in the queue of another daemon and started up to seconds after their callers had left. Cause: call_router::cancel ignored that peer_mesh::send had not written the message, and a call to an idempotent route that was given up because its link was lost was never cancelled at all.

A cancellation names the process that made the call, which may not be the one at the end of the link any more; messages of daemons that do not say are taken as before.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -96,8 +96,26 @@
   } else if (found->second.to == self_.name) {
     callbacks_.cancel_locally(id);
   } else {
-    const instance_name to = found->second.to;
-    callbacks_.cancelled(to, id, links_.send(to, wire::call_cancel{id}));
+    send_cancellation(instance_name(found->second.to), id, found->second.deadline);
+  }
+}
+
+void call_router::send_cancellation(const instance_name& to, wire::request_id id,
+                                    time_point deadline) {
+  const bool sent = links_.send(to, wire::call_cancel{id, self_.incarnation});
+  if (!sent) {
+    kept_cancellations_[to][id] = deadline;
+    links_.ensure_link(to);
+  }
+  callbacks_.cancelled(to, id, sent);
+}
+
+void call_router::send_kept_cancellations(const instance_name& to) {
+  const auto kept = kept_cancellations_.extract(to);
+  if (!kept.empty()) {
+    for (const auto& [id, deadline] : kept.mapped()) {
+      send_cancellation(to, id, deadline);
+    }
   }
 }
 
@@ -118,6 +136,8 @@
 }
 
 void call_router::peer_established(const instance_name& peer) {
+  // First, so that a query of a cancelled call has its final answer.
+  send_kept_cancellations(peer);
   const auto queries = to_query_.find(peer);
   if (queries != to_query_.end()) {
     for (const wire::request_id id : queries->second) {
@@ -142,6 +162,7 @@
     const auto found = calls_.find(id);
     if (found != calls_.end() && found->second.idempotent) {
       // The caller may try elsewhere at once; asking what became of it would only cost time.
+      kept_cancellations_[peer][id] = found->second.deadline;
       finish({id, process_of(peer), verdict::may_have_run, std::nullopt, link_lost_reason});
     } else {
       queries.push_back(id);
@@ -189,6 +210,14 @@
   for (const auto& [peer, ids] : to_query_) {
     links_.ensure_link(peer);
   }
+  expire_cancellations(now);
+}
+
+void call_router::expire_cancellations(time_point now) {
+  for (auto& [peer, kept] : kept_cancellations_) {
+    std::erase_if(kept, [now](const auto& one) { return one.second <= now; });
+  }
+  std::erase_if(kept_cancellations_, [](const auto& one) { return one.second.empty(); });
 }
 
 }  // namespace crocusdoor
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -30,7 +30,7 @@
     std::function<void(wire::request_id)> cancel_locally;
     /// An answer has come that no call waits for.
     std::function<void()> answer_unmatched;
-    /// A call was cancelled; `sent` says whether its receiver could be told.
+    /// A call was cancelled; `sent` says whether its receiver could be told at once.
     std::function<void(const instance_name& to, wire::request_id, bool sent)> cancelled;
   };
 
@@ -41,7 +41,8 @@
   wire::request_id send(const instance_name& to, wire::call request, time_point deadline,
                         callback done);
 
-  /// Tells the receiver that nobody waits for the answer any more. The callback is still called.
+  /// Tells the receiver that nobody waits for the answer any more, over the next link if there is
+  /// none now. The callback is still called.
   void cancel(wire::request_id id);
 
   /// An answer of the target beside this daemon.
@@ -68,7 +69,10 @@
 
   void write(wire::request_id id, waiting_call& one);
   void finish(const call_outcome& outcome);
+  void send_cancellation(const instance_name& to, wire::request_id id, time_point deadline);
+  void send_kept_cancellations(const instance_name& to);
   void expire();
+  void expire_cancellations(time_point now);
   peer_process process_of(const instance_name& name) const;
 
   timer_service& timers_;
@@ -78,6 +82,8 @@
   pending_calls pending_;
   std::map<wire::request_id, waiting_call> calls_;
   std::map<instance_name, std::vector<wire::request_id>> to_query_;
+  /// Cancellations that wait for a link, with the deadlines of their calls.
+  std::map<instance_name, std::map<wire::request_id, time_point>> kept_cancellations_;
   wire::request_id next_id_;
   timer_handle timer_;
 };
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -182,7 +182,7 @@
     target_->receive(from, distributor_->version_of(from), request);
   });
   dispatcher.on<wire::call_cancel>([this](const instance_name& from, const auto& content) {
-    target_->cancel(from, mesh_->incarnation_of(from), content.id);
+    target_->cancel(from, mesh_->canceller(from, content), content.id);
   });
   dispatcher.on<wire::call_status>([this](const instance_name& from, const auto& query) {
     mesh_->send(from, target_->status(from, query));
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -121,6 +121,9 @@
 
 struct call_cancel {
   request_id id = 0;
+  /// Of the process that made the call; 0 from a daemon that does not say, which is the one at the
+  /// other end of the link.
+  std::uint64_t sender_incarnation = 0;
   friend bool operator==(const call_cancel&, const call_cancel&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -102,7 +102,9 @@
 
 template <>
 struct record_fields<wire::call_cancel> {
-  static constexpr auto table = std::make_tuple(required_field("id", &wire::call_cancel::id));
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::call_cancel::id),
+                      optional_field("sender_incarnation", &wire::call_cancel::sender_incarnation));
 };
 
 template <>
--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -147,7 +147,7 @@
   dispatcher.on<wire::call>(
       [&one](const auto& from, const wire::call& call) { one.work->receive(from, call); });
   dispatcher.on<wire::call_cancel>([&one](const auto& from, const wire::call_cancel& content) {
-    one.work->cancel(from, one.connections->incarnation_of(from), content.id);
+    one.work->cancel(from, one.connections->canceller(from, content), content.id);
   });
   dispatcher.on<wire::call_status>([&one](const auto& from, const wire::call_status& query) {
     one.connections->send(from, one.work->status(from, query));
