End the work of a peer with its last link

What callers saw: nothing; targets worked on, and started waiting calls, for daemons that had given them up. Cause: when a link is lost, the caller's daemon ends its idempotent calls and repeats them elsewhere, but the daemon of the target did not act on the loss at all. The same holds for a peer whose process has ended and whose next process has a link already.

inbound_work::peer_lost refuses what waits for the peer as not run and stops its idempotent requests; a request that may run only once and runs is left to finish, and its answer is kept for the peer's question. peer_established does the same for the requests of earlier processes of the peer.

--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/inbound_work.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/message_fields.h"
@@ -174,34 +175,63 @@
         {{"from", from.str()}, {"call", id}, {"progress", std::string(to_string(known.progress))}});
     return;
   }
-  const bool running = one->started_at.has_value();
-  shared_.counters.count_cancellation(running ? "running" : "waiting");
-  if (!running) {
-    drop(one, "cancelled", duration::zero());
-  } else if (one->call.idempotent) {
-    callbacks_.stop(one->ticket);
-    const slot_changes changes = queue_.finished(one->ticket, shared_.timers.now());
-    wire::call_answer value;
-    value.reason = "cancelled";
-    answer(*one, std::move(value));
-    apply(changes);
+  shared_.counters.count_cancellation(one->started_at.has_value() ? "running" : "waiting");
+  abandon(one, "cancelled");
+}
+
+void inbound_work::abandon(const request_pointer& one, const std::string& reason) {
+  if (!one->started_at.has_value()) {
+    drop(one, reason, duration::zero());
+    return;
+  }
+  if (!one->call.idempotent) {
+    return;
+  }
+  callbacks_.stop(one->ticket);
+  const slot_changes changes = queue_.finished(one->ticket, shared_.timers.now());
+  wire::call_answer value;
+  value.reason = reason;
+  answer(*one, std::move(value));
+  apply(changes);
+}
+
+void inbound_work::peer_established(const instance_name& peer, std::uint64_t incarnation) {
+  std::vector<request_pointer> outdated;
+  for (const auto& [ticket, one] : requests_) {
+    if (one->from == peer && one->call.sender_incarnation < incarnation) {
+      outdated.push_back(one);
+    }
   }
-  // A request that may run only once is left to finish: its effect is worth more than the slot.
+  abandon_all(outdated, peer, "caller_restarted");
 }
 
 void inbound_work::peer_lost(const instance_name& peer) {
-  std::size_t waiting = 0;
-  std::size_t running = 0;
+  std::vector<request_pointer> concerned;
   for (const auto& [ticket, one] : requests_) {
     if (one->from == peer) {
-      ++(one->started_at.has_value() ? running : waiting);
+      concerned.push_back(one);
     }
   }
-  if (waiting + running > 0) {
-    shared_.counters.count_work_of_lost_link("waiting", waiting);
-    shared_.counters.count_work_of_lost_link("running", running);
-    shared_.log.warning("peer_lost_with_work",
-                        {{"peer", peer.str()}, {"waiting", waiting}, {"running", running}});
+  abandon_all(concerned, peer, link_lost_reason);
+}
+
+void inbound_work::abandon_all(const std::vector<request_pointer>& requests,
+                               const instance_name& peer, const std::string& reason) {
+  if (requests.empty()) {
+    return;
+  }
+  const auto running =
+      static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [](const auto& one) {
+        return one->started_at.has_value();
+      }));
+  const std::size_t waiting = requests.size() - running;
+  shared_.counters.count_work_of_lost_link("waiting", waiting);
+  shared_.counters.count_work_of_lost_link("running", running);
+  shared_.log.warning(
+      "peer_lost_with_work",
+      {{"peer", peer.str()}, {"reason", reason}, {"waiting", waiting}, {"running", running}});
+  for (const request_pointer& one : requests) {
+    abandon(one, reason);
   }
 }
 
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "daemon/metrics.h"
 #include "link/request_ledger.h"
@@ -59,7 +60,10 @@
 
   void receive(const instance_name& from, const wire::call& request);
   void cancel(const instance_name& from, std::uint64_t sender_incarnation, wire::request_id id);
-  /// The last link to a peer is lost.
+  /// A peer has a link; the requests of earlier processes of it have nobody who waits for them.
+  void peer_established(const instance_name& peer, std::uint64_t incarnation);
+  /// The last link to a peer is lost. The peer gives up its idempotent calls then, and asks over
+  /// the next link what became of the others.
   void peer_lost(const instance_name& peer);
   [[nodiscard]] wire::call_status_answer status(const instance_name& from,
                                                 const wire::call_status& query);
@@ -86,6 +90,11 @@
   void apply(const slot_changes& changes);
   void start_admitted();
   void start(const request_pointer& one, bool sender_reachable);
+  void abandon_all(const std::vector<request_pointer>& requests, const instance_name& peer,
+                   const std::string& reason);
+  /// Ends a request for which nobody waits any more, unless it runs and may run only once: its
+  /// effect is worth more than the slot.
+  void abandon(const request_pointer& one, const std::string& reason);
   /// Takes back a request that has not been handed to the target, and refuses it.
   void drop(const request_pointer& one, const std::string& reason, duration retry_after);
   void refuse(const request_pointer& one, const std::string& reason, duration retry_after);
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -257,6 +257,7 @@
                             {"state", std::string(to_string(record.state))}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
   record_received(peer, record);
+  gateway_->work().peer_established(peer, record.incarnation);
 }
 
 void sidecar_daemon::record_received(const instance_name& peer, const instance_record& record) {
--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -154,6 +154,7 @@
   });
   dispatcher.on<wire::hello>([&one](const auto& from, const wire::hello& greeting) {
     one.connections->greet(from, greeting.self.incarnation);
+    one.work->peer_established(from, greeting.self.incarnation);
     one.router->peer_established(from);
   });
   for (std::size_t peer = 0; peer < size(); ++peer) {
--- a/Tests/sidecar/request_model_test.cpp
+++ b/Tests/sidecar/request_model_test.cpp
@@ -105,6 +105,15 @@
     model.run_for(seconds(3));
     CHECK(model.starts_of(number) == 0);
   }
+  SECTION("nor if the peer's next process has a link before the old one is seen to end") {
+    fill_slots_of_1(model, milliseconds(1'000));
+    const std::size_t number = model.send(call_from_0_to_1(false, seconds(3)));
+    model.run_for(milliseconds(50));
+    model.silence(0, 1);
+    model.kill(0, milliseconds(50));
+    model.run_for(seconds(3));
+    CHECK(model.starts_of(number) == 0);
+  }
   SECTION("a request that may run only once and has started is left to finish") {
     plan.idempotent = false;
     model.send(plan);
