Refuse the requests of a process that has been replaced

What callers saw: nothing; a target ran the request of a process that had been killed. Cause: after a loop has stood still, the greeting of a peer's next process may be read before what the one before it had sent on its own connection.

The ledger learns of a process by its greeting, not by its first request, so what arrives later of an earlier one is refused.

--- a/Source/link/request_ledger.h
+++ b/Source/link/request_ledger.h
@@ -41,6 +41,13 @@
  public:
   explicit request_ledger(request_ledger_limits limits = {}) : limits_(limits) {}
 
+  /// A process of a sender has a link. Requests of earlier processes that arrive from now on are
+  /// refused.
+  void sender_started(const instance_name& sender, std::uint64_t sender_incarnation,
+                      time_point now) {
+    sender_for(sender, sender_incarnation, now);
+  }
+
   /// A request arrived.
   [[nodiscard]] receipt receive(const instance_name& sender, std::uint64_t sender_incarnation,
                                 wire::request_id id, time_point now);
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -203,6 +203,7 @@
     }
   }
   abandon_all(outdated, peer, "caller_restarted");
+  ledger_.sender_started(peer, incarnation, shared_.timers.now());
 }
 
 void inbound_work::peer_lost(const instance_name& peer) {
--- a/Tests/link/request_ledger_test.cpp
+++ b/Tests/link/request_ledger_test.cpp
@@ -28,6 +28,19 @@
 
 }  // namespace
 
+TEST_CASE("a request of a process that has been replaced is refused", "[link]") {
+  // Failure guarded against: the request was read after the greeting of the sender's next process,
+  // and ran for a caller whose connection had ended with the old one.
+  request_ledger ledger;
+  const instance_name sender("a");
+  const time_point now{};
+  CHECK(ledger.receive(sender, 1, 10, now) == receipt::accepted);
+  ledger.sender_started(sender, 2, now);
+  CHECK(ledger.receive(sender, 1, 11, now) == receipt::refused);
+  CHECK(ledger.receive(sender, 2, 12, now) == receipt::accepted);
+  CHECK(ledger.receive(sender, 1, 10, now) == receipt::duplicate);
+}
+
 TEST_CASE("what a receiver says of a request", "[P4][P5][F7]") {
   request_ledger ledger({.requests = 3});
   CHECK(ledger.receive(caller, 5, 10, start) == receipt::accepted);
