Send a cancellation again if the link that carried it is lost

What callers saw: nothing; a call of a caller that had left started when the slots were free again. Cause: a cancellation written to a connection that has been reset, but whose end is not read yet, counts as sent; the next link only asks what became of the call.

call_router remembers which calls are cancelled and keeps their cancellations for the next link when the present one is lost.

--- a/Source/daemon/call_router.cpp
+++ b/Source/daemon/call_router.cpp
@@ -96,6 +96,7 @@
   } else if (found->second.to == self_.name) {
     callbacks_.cancel_locally(id);
   } else {
+    found->second.cancelled = true;
     send_cancellation(instance_name(found->second.to), id, found->second.deadline);
   }
 }
@@ -160,9 +161,13 @@
   std::vector<wire::request_id>& queries = to_query_[peer];
   for (const wire::request_id id : lost.to_query) {
     const auto found = calls_.find(id);
-    if (found != calls_.end() && found->second.idempotent) {
-      // The caller may try elsewhere at once; asking what became of it would only cost time.
+    const bool known = found != calls_.end();
+    if (known && (found->second.idempotent || found->second.cancelled)) {
+      // A cancellation that was written to the link may have been lost with it.
       kept_cancellations_[peer][id] = found->second.deadline;
+    }
+    if (known && found->second.idempotent) {
+      // The caller may try elsewhere at once; asking what became of it would only cost time.
       finish({id, process_of(peer), verdict::may_have_run, std::nullopt, link_lost_reason});
     } else {
       queries.push_back(id);
--- a/Source/daemon/call_router.h
+++ b/Source/daemon/call_router.h
@@ -65,6 +65,7 @@
     std::optional<wire::call> unsent;
     time_point deadline;
     bool idempotent = false;
+    bool cancelled = false;
   };
 
   void write(wire::request_id id, waiting_call& one);
--- a/Tests/sidecar/request_model_test.cpp
+++ b/Tests/sidecar/request_model_test.cpp
@@ -69,6 +69,17 @@
     model.run_for(seconds(4));
     CHECK(model.starts_of(number) == 0);
   }
+  SECTION("nor if the cancellation was written to a link that had ended already") {
+    fill_slots_of_1(model, milliseconds(1'500));
+    const std::size_t number = model.send(call_from_0_to_1(false, milliseconds(60)));
+    model.run_for(milliseconds(50));
+    model.stall(0, milliseconds(200));
+    model.stall(1, milliseconds(400));
+    model.run_for(milliseconds(20));
+    model.reset(0, 1, milliseconds(100));
+    model.run_for(seconds(4));
+    CHECK(model.starts_of(number) == 0);
+  }
   SECTION("nor if the link is replaced by one that was opened before") {
     fill_slots_of_1(model, milliseconds(1'500));
     const std::size_t number = model.send(call_from_0_to_1(true, milliseconds(100)));
