Count the way of a call against its deadline, and know the link that brought it

What callers saw: nothing; targets ran calls up to 1.5 s after their callers had left, and calls of links that had ended. Cause: the receiver of a call did not know when and how it had come. Its deadline was counted from when it was read, so the time in buffers, on a choked link or in front of a loop that stood still was given away twice; and with two links to a peer, the end of one of them did not concern the calls that it had brought.

Each message says when it was sent, on a clock that counts suspensions; transit_delay compares that with the fastest message of the last seconds. What a call was on its way is taken off what it has left. A call knows the number of its link: it starts only while that link is open, and when the link ends it is given up, as its caller's daemon does. call_delayed and crocusdoor_call_transit_seconds show it.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -62,6 +62,8 @@
       configuration_lag_(make_histogram(
           registry_, "crocusdoor_configuration_lag_seconds",
           "Time from hearing of a newer version to a version at least as new in use")),
+      call_transit_(make_histogram(registry_, "crocusdoor_call_transit_seconds",
+                                   "Time that delayed calls of peers were on their way")),
       loop_delay_(make_histogram(registry_, "crocusdoor_loop_delay_seconds",
                                  "How late a timer of the event loop ran")),
       retries_(make_counter(registry_, "crocusdoor_retries_total", "Calls sent again")),
@@ -124,6 +126,10 @@
   configuration_lag_->Observe(seconds(lag));
 }
 
+void metrics::observe_call_transit(duration transit) {
+  call_transit_->Observe(seconds(transit));
+}
+
 void metrics::observe_loop_delay(duration delay) {
   loop_delay_->Observe(seconds(delay));
 }
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -36,6 +36,8 @@
   void count_catch_up(const std::string& source);
   /// From hearing of a newer version to a version at least as new in force.
   void observe_configuration_lag(duration lag);
+  /// How long a call of a peer was on its way, if it was delayed at all.
+  void observe_call_transit(duration transit);
   /// How late a timer of the event loop ran.
   void observe_loop_delay(duration delay);
 
@@ -62,6 +64,7 @@
   prometheus::Family<prometheus::Counter>* adoptions_;
   prometheus::Family<prometheus::Counter>* catch_ups_;
   prometheus::Histogram* configuration_lag_;
+  prometheus::Histogram* call_transit_;
   prometheus::Histogram* loop_delay_;
   prometheus::Counter* retries_;
   prometheus::Counter* hedges_;
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -31,8 +31,8 @@
       callbacks_(std::move(callbacks)) {
   context_ = std::make_shared<const peer_session::context>(peer_session::context{
       loop_, settings_.self, [this] { return intervals(); }, callbacks_.make_hello,
-      callbacks_.configuration_version, callbacks_.configuration_digest, callbacks_.load,
-      settings_.answer_heartbeats,
+      std::make_shared<std::uint64_t>(0), callbacks_.configuration_version,
+      callbacks_.configuration_digest, callbacks_.load, settings_.answer_heartbeats,
       while_alive([this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
       }),
@@ -147,15 +147,15 @@
   return session != nullptr && session->send(content);
 }
 
-bool peer_mesh::read_from(const instance_name& peer) {
+bool peer_mesh::read_from(const instance_name& peer, std::uint64_t link) {
   const auto found = sessions_.find(peer);
-  if (found != sessions_.end()) {
-    const session_list open = found->second;
-    for (const auto& session : open) {
-      session->link()->read_arrived();
-    }
+  const session_list sessions = found == sessions_.end() ? session_list() : found->second;
+  for (const auto& session : sessions) {
+    session->link()->read_arrived();
   }
-  return linked(peer);
+  return std::any_of(sessions.begin(), sessions.end(), [link](const auto& session) {
+    return session->number() == link && session->link()->is_open();
+  });
 }
 
 bool peer_mesh::send(const instance_name& peer, const wire::shared_message& content) {
@@ -243,6 +243,9 @@
     return;
   }
   const bool was_listed = std::erase(found->second, session) > 0;
+  if (was_listed && callbacks_.link_lost) {
+    callbacks_.link_lost(peer, session->number());
+  }
   if (found->second.empty()) {
     sessions_.erase(found);
     LOG_EVENT(INFO, "peer_lost") << field("peer", peer) << field("reason", reason);
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -50,6 +50,8 @@
     std::function<void(const instance_name&)> dial_failed;
     /// A session to a peer has ended while another one goes on.
     std::function<void(const instance_name&)> session_replaced = nullptr;
+    /// One session to a peer has ended, the last one or not; called before the handlers above.
+    std::function<void(const instance_name&, std::uint64_t link)> link_lost = nullptr;
     /// The address of an instance belongs to another one now.
     std::function<void(const instance_name&)> replaced = nullptr;
     /// Load that heartbeats report.
@@ -76,8 +78,8 @@
   /// The same for a message that others get too.
   bool send(const instance_name& peer, const wire::shared_message& content);
   /// Reads what a peer has sent already, without waiting for the loop to come to it; whether the
-  /// peer still has a link. Not to be called while a message of the peer is handled.
-  bool read_from(const instance_name& peer);
+  /// link of this number is still open. Not to be called while a message of the peer is handled.
+  bool read_from(const instance_name& peer, std::uint64_t link);
   /// Sends to every linked peer but one.
   void send_to_all(const wire::message& content, const instance_name& except = {});
   void announce_version();
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -28,7 +28,7 @@
   // The link owns these handlers, and with them the session, until it has closed.
   const std::shared_ptr<peer_session> self = shared_from_this();
   return {[self](peer_link&) { self->link_opened(); },
-          [self](peer_link&, const wire::envelope& value) { self->message_received(value); },
+          [self](peer_link&, wire::envelope value) { self->message_received(std::move(value)); },
           [self](peer_link&, const std::string& reason) { self->link_closed(reason); }};
 }
 
@@ -36,13 +36,14 @@
   if (!std::holds_alternative<wire::heartbeat>(content)) {
     schedule_.used(shared_->loop.now());
   }
-  return link_->send({shared_->configuration_version(), std::move(content)});
+  return link_->send(
+      {shared_->configuration_version(), std::move(content), event_loop::since_boot()});
 }
 
 bool peer_session::send(const wire::shared_message& content) {
   schedule_.used(shared_->loop.now());
-  return link_->send_encoded(
-      wire::encode(shared_->configuration_version(), content, peer_reads_deflated_));
+  return link_->send_encoded(wire::encode(shared_->configuration_version(), content,
+                                          peer_reads_deflated_, event_loop::since_boot()));
 }
 
 void peer_session::close(const std::string& reason) {
@@ -85,7 +86,7 @@
   }
 }
 
-void peer_session::message_received(const wire::envelope& value) {
+void peer_session::message_received(wire::envelope value) {
   const time_point now = shared_->loop.now();
   schedule_.heard(now);
   if (const auto* greeting = std::get_if<wire::hello>(&value.content)) {
@@ -103,6 +104,13 @@
   if (beat != nullptr && shared_->answer_heartbeats) {
     send(wire::heartbeat_answer{beat->sequence, shared_->configuration_digest()});
   }
+  const duration transit = value.sent_at.count() > 0
+                               ? transit_.observe(value.sent_at, event_loop::since_boot())
+                               : duration::zero();
+  if (auto* request = std::get_if<wire::call>(&value.content)) {
+    request->transit = transit;
+    request->link = number_;
+  }
   shared_->received(shared_from_this(), value);
 }
 
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "link/heartbeat_schedule.h"
+#include "link/transit_delay.h"
 #include "membership/instance_record.h"
 #include "transport/event_loop.h"
 #include "transport/peer_link.h"
@@ -24,6 +25,8 @@
     /// Times of the heartbeats; the idle interval may depend on the number of links.
     std::function<heartbeat_intervals()> intervals;
     std::function<wire::hello(const instance_name& peer)> make_hello;
+    /// Links so far, so that each has a number.
+    std::shared_ptr<std::uint64_t> links_opened;
     /// Version that the sender holds.
     std::function<version_number()> configuration_version;
     std::function<digest()> configuration_digest;
@@ -48,6 +51,7 @@
   [[nodiscard]] const instance_name& peer() const noexcept { return peer_; }
   [[nodiscard]] bool established() const noexcept { return established_; }
   [[nodiscard]] const std::shared_ptr<peer_link>& link() const noexcept { return link_; }
+  [[nodiscard]] std::uint64_t number() const noexcept { return number_; }
   /// Time since anything arrived from the other end.
   [[nodiscard]] duration silence() const { return schedule_.silence(shared_->loop.now()); }
 
@@ -62,22 +66,26 @@
 
  private:
   explicit peer_session(std::shared_ptr<const context> shared)
-      : shared_(std::move(shared)), schedule_(shared_->loop.now()) {}
+      : shared_(std::move(shared)),
+        number_(++*shared_->links_opened),
+        schedule_(shared_->loop.now()) {}
 
   peer_link::handlers make_handlers();
   void watch_for_hello();
   void link_opened();
-  void message_received(const wire::envelope& value);
+  void message_received(wire::envelope value);
   void accept_hello(const wire::envelope& value, const wire::hello& greeting);
   void link_closed(const std::string& reason);
 
   std::shared_ptr<const context> shared_;
+  std::uint64_t number_;
   std::shared_ptr<peer_link> link_;
   instance_name peer_;
   bool established_ = false;
   bool peer_reads_deflated_ = false;
   std::uint64_t heartbeat_sequence_ = 0;
   heartbeat_schedule schedule_;
+  transit_delay transit_;
   timer_handle hello_timer_;
 };
 
--- a/Source/daemon/target_gateway.cpp
+++ b/Source/daemon/target_gateway.cpp
@@ -41,7 +41,8 @@
   work(const daemon_context& shared, instance_name sender, wire::call received)
       : from(std::move(sender)),
         request(std::move(received)),
-        deadline(deadline_rule::on_arrival(request.deadline_left_ms, shared.loop.now())),
+        deadline(deadline_rule::on_arrival(request.deadline_left_ms, shared.loop.now()) -
+                 request.transit),
         identity(request_digest(request)),
         span(shared, "target " + request.service.str(), request.traceparent) {}
 };
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -19,8 +19,9 @@
  public:
   struct handlers {
     std::function<void(const instance_name& to, const wire::call_answer&)> send_answer;
-    /// Takes in what a sender has sent already; whether it can be told of an outcome.
-    std::function<bool(const instance_name& from)> hear_sender;
+    /// Takes in what the sender of a request has sent already; whether the link that brought the
+    /// request is still open.
+    std::function<bool(const inbound_request&)> hear_sender;
     /// The target has come, gone or begun to leave.
     std::function<void()> status_changed;
     /// The target has said that it goes.
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -1,6 +1,5 @@
 #include "sidecar/inbound_work.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "wire/message_fields.h"
@@ -15,6 +14,10 @@
 constexpr duration least_time_left = std::chrono::milliseconds(3);
 constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 constexpr double percent_of_one = 100;
+/// Shorter times on the way are no delay.
+constexpr duration least_counted_transit = std::chrono::milliseconds(5);
+/// Time on the way that callers notice, and that is logged.
+constexpr duration long_transit = std::chrono::milliseconds(250);
 constexpr const char* link_lost_reason = "link_lost";
 
 }  // namespace
@@ -36,7 +39,7 @@
   const auto one = std::make_shared<inbound_request>();
   one->from = from;
   one->call = request;
-  one->deadline = now + request.deadline_left_ms;
+  one->deadline = now + request.deadline_left_ms - request.transit;
   one->ticket = next_ticket_++;
   const std::string reason = received == receipt::refused
                                  ? "request_id_refused"
@@ -45,9 +48,19 @@
     refuse(one, reason, leaving_retry_after);
     return;
   }
+  if (request.transit >= least_counted_transit) {
+    shared_.counters.observe_call_transit(request.transit);
+  }
+  if (request.transit >= long_transit) {
+    shared_.log.request(log_level::warning, "call_delayed",
+                        {{"request", attempt_id_of(*one)},
+                         {"from", from.str()},
+                         {"transit_ms", to_ms(request.transit)},
+                         {"left_ms", to_ms(one->deadline - now)}});
+  }
   requests_[one->ticket] = one;
   apply(queue_.offer({one->ticket, request.rank, request.work_class, one->deadline,
-                      now + request.objective_left_ms},
+                      now + request.objective_left_ms - request.transit},
                      now));
 }
 
@@ -66,7 +79,8 @@
 }
 
 void inbound_work::start_admitted() {
-  std::map<instance_name, bool> reachable;
+  using link_of_sender = std::pair<instance_name, std::uint64_t>;
+  std::map<link_of_sender, bool> open_links;
   while (!admitted_.empty()) {
     const auto found = requests_.find(admitted_.front());
     if (found == requests_.end()) {
@@ -74,22 +88,22 @@
       continue;
     }
     const request_pointer one = found->second;
-    const auto [sender, unheard] = reachable.try_emplace(one->from, true);
+    const auto [link, unheard] = open_links.try_emplace({one->from, one->call.link}, true);
     if (unheard) {
       // What is heard may cancel this request or others.
-      sender->second = callbacks_.hear_sender(one->from);
+      link->second = callbacks_.hear_sender(*one);
       continue;
     }
     admitted_.pop_front();
-    start(one, sender->second);
+    start(one, link->second);
   }
   start_timer_ = nullptr;
 }
 
-void inbound_work::start(const request_pointer& one, bool sender_reachable) {
+void inbound_work::start(const request_pointer& one, bool link_open) {
   const time_point now = shared_.timers.now();
   std::string reason = callbacks_.reason_to_refuse(one->call.service);
-  if (!sender_reachable) {
+  if (!link_open) {
     reason = link_lost_reason;
   } else if (one->deadline - now < least_time_left) {
     reason = "deadline_unreachable";
@@ -196,42 +210,40 @@
 }
 
 void inbound_work::peer_established(const instance_name& peer, std::uint64_t incarnation) {
-  std::vector<request_pointer> outdated;
-  for (const auto& [ticket, one] : requests_) {
-    if (one->from == peer && one->call.sender_incarnation < incarnation) {
-      outdated.push_back(one);
-    }
-  }
-  abandon_all(outdated, peer, "caller_restarted");
+  abandon_all(peer, "caller_restarted", [incarnation](const wire::call& request) {
+    return request.sender_incarnation < incarnation;
+  });
   ledger_.sender_started(peer, incarnation, shared_.timers.now());
 }
 
-void inbound_work::peer_lost(const instance_name& peer) {
-  std::vector<request_pointer> concerned;
+void inbound_work::link_lost(const instance_name& peer, std::uint64_t link) {
+  abandon_all(peer, link_lost_reason,
+              [link](const wire::call& request) { return request.link == link; });
+}
+
+void inbound_work::abandon_all(const instance_name& peer, const std::string& reason,
+                               const std::function<bool(const wire::call&)>& concerned) {
+  std::vector<request_pointer> waiting;
+  std::vector<request_pointer> running;
   for (const auto& [ticket, one] : requests_) {
-    if (one->from == peer) {
-      concerned.push_back(one);
+    if (one->from == peer && concerned(one->call)) {
+      (one->started_at.has_value() ? running : waiting).push_back(one);
     }
   }
-  abandon_all(concerned, peer, link_lost_reason);
-}
-
-void inbound_work::abandon_all(const std::vector<request_pointer>& requests,
-                               const instance_name& peer, const std::string& reason) {
-  if (requests.empty()) {
+  if (waiting.empty() && running.empty()) {
     return;
   }
-  const auto running =
-      static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [](const auto& one) {
-        return one->started_at.has_value();
-      }));
-  const std::size_t waiting = requests.size() - running;
-  shared_.counters.count_work_of_lost_link("waiting", waiting);
-  shared_.counters.count_work_of_lost_link("running", running);
-  shared_.log.warning(
-      "peer_lost_with_work",
-      {{"peer", peer.str()}, {"reason", reason}, {"waiting", waiting}, {"running", running}});
-  for (const request_pointer& one : requests) {
+  shared_.counters.count_work_of_lost_link("waiting", waiting.size());
+  shared_.counters.count_work_of_lost_link("running", running.size());
+  shared_.log.warning("link_lost_with_work", {{"peer", peer.str()},
+                                              {"reason", reason},
+                                              {"waiting", waiting.size()},
+                                              {"running", running.size()}});
+  // Waiting ones first, so that none of them gets the slot of one that is stopped.
+  for (const request_pointer& one : waiting) {
+    abandon(one, reason);
+  }
+  for (const request_pointer& one : running) {
     abandon(one, reason);
   }
 }
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -47,8 +47,9 @@
   struct handlers {
     /// Why the target cannot take a request for a service now; empty if it can.
     std::function<std::string(const service_name&)> reason_to_refuse;
-    /// Takes in what a sender has sent already; whether it can be told of an outcome.
-    std::function<bool(const instance_name& from)> hear_sender;
+    /// Takes in what the sender of a request has sent already; whether the link that brought the
+    /// request is still open.
+    std::function<bool(const inbound_request&)> hear_sender;
     /// Hands a request to the target; `finish` takes the answer.
     std::function<void(const inbound_request_pointer&)> start;
     /// Gives up what was handed to the target.
@@ -62,9 +63,9 @@
   void cancel(const instance_name& from, std::uint64_t sender_incarnation, wire::request_id id);
   /// A peer has a link; the requests of earlier processes of it have nobody who waits for them.
   void peer_established(const instance_name& peer, std::uint64_t incarnation);
-  /// The last link to a peer is lost. The peer gives up its idempotent calls then, and asks over
-  /// the next link what became of the others.
-  void peer_lost(const instance_name& peer);
+  /// A link to a peer is lost. The peer gives up its idempotent calls then, and asks over another
+  /// link what became of the others.
+  void link_lost(const instance_name& peer, std::uint64_t link);
   [[nodiscard]] wire::call_status_answer status(const instance_name& from,
                                                 const wire::call_status& query);
 
@@ -89,9 +90,9 @@
                                      wire::request_id id) const;
   void apply(const slot_changes& changes);
   void start_admitted();
-  void start(const request_pointer& one, bool sender_reachable);
-  void abandon_all(const std::vector<request_pointer>& requests, const instance_name& peer,
-                   const std::string& reason);
+  void start(const request_pointer& one, bool link_open);
+  void abandon_all(const instance_name& peer, const std::string& reason,
+                   const std::function<bool(const wire::call&)>& concerned);
   /// Ends a request for which nobody waits any more, unless it runs and may run only once: its
   /// effect is worth more than the slot.
   void abandon(const request_pointer& one, const std::string& reason);
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -77,8 +77,9 @@
                        mesh_->send(to, answer);
                      }
                    },
-                   [this](const instance_name& from) {
-                     return from == shared_.self.name || mesh_->read_from(from);
+                   [this](const inbound_request& one) {
+                     return one.from == shared_.self.name ||
+                            mesh_->read_from(one.from, one.call.link);
                    },
                    [this] { status_changed(); },
                    [this](const target_departure& departure) {
@@ -179,6 +180,9 @@
   callbacks.peer_lost = [this](const instance_name& peer, const std::string& reason) {
     peer_lost(peer, reason);
   };
+  callbacks.link_lost = [this](const instance_name& peer, std::uint64_t link) {
+    gateway_->work().link_lost(peer, link);
+  };
   callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
   callbacks.session_replaced = [this](const instance_name& peer) {
     router_->session_replaced(peer);
@@ -291,7 +295,6 @@
   configurations_->peer_lost(peer);
   upstreams_.remove(peer);
   router_->peer_lost(peer);
-  gateway_->work().peer_lost(peer);
 }
 
 void sidecar_daemon::call_cancelled(const instance_name& to, wire::request_id id, bool sent) {
--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -45,6 +45,13 @@
   event* event_;
 };
 
+duration read_clock(clockid_t clock) {
+  timespec reading{};
+  clock_gettime(clock, &reading);
+  return std::chrono::duration_cast<duration>(std::chrono::seconds(reading.tv_sec) +
+                                              std::chrono::nanoseconds(reading.tv_nsec));
+}
+
 }  // namespace detail
 
 struct event_loop::state {
@@ -81,10 +88,11 @@
 }
 
 time_point event_loop::now() const {
-  timespec reading{};
-  clock_gettime(CLOCK_MONOTONIC, &reading);
-  return time_point(std::chrono::duration_cast<duration>(
-      std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec)));
+  return time_point(detail::read_clock(CLOCK_MONOTONIC));
+}
+
+duration event_loop::since_boot() {
+  return detail::read_clock(CLOCK_BOOTTIME);
 }
 
 wall_time event_loop::wall_now() {
--- a/Source/transport/event_loop.h
+++ b/Source/transport/event_loop.h
@@ -20,6 +20,8 @@
 
   [[nodiscard]] time_point now() const override;
   [[nodiscard]] static wall_time wall_now();
+  /// Time since the machine started, in which time in suspension counts.
+  [[nodiscard]] static duration since_boot();
 
   [[nodiscard]] timer_handle after(duration delay, std::function<void()> action) override;
   [[nodiscard]] timer_handle every(duration interval, std::function<void()> action) override;
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -181,7 +181,7 @@
   handle_failure(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(value, wire::decode(payload));
-        callbacks_.message(*this, value);
+        callbacks_.message(*this, std::move(value));
         return {};
       },
       [&](const failure& error) {
--- a/Source/transport/peer_link.h
+++ b/Source/transport/peer_link.h
@@ -20,7 +20,7 @@
  public:
   struct handlers {
     std::function<void(peer_link&)> opened;
-    std::function<void(peer_link&, const wire::envelope&)> message;
+    std::function<void(peer_link&, wire::envelope)> message;
     std::function<void(peer_link&, const std::string& reason)> closed;
   };
 
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -11,6 +11,7 @@
 #include "configuration/configuration_delta.h"
 #include "configuration/route.h"
 #include "configuration/snapshot.h"
+#include "core/time.h"
 #include "core/verdict.h"
 #include "membership/instance_record.h"
 #include "mesh/configuration_change.h"
@@ -103,6 +104,12 @@
   std::string work_class;         ///< Requests that take similar time.
   /// Until when the answer is worth most; negative if that has passed.
   std::chrono::milliseconds objective_left_ms{0};
+  /// How long the call was on its way, as its receiver knows it. Not sent; the times that are left
+  /// count from when the call was sent.
+  duration transit{0};
+  /// Number of the link that brought it, as its receiver counts them; 0 for a call of its own. Not
+  /// sent.
+  std::uint64_t link = 0;
   friend bool operator==(const call&, const call&) = default;
 };
 
@@ -222,6 +229,8 @@
 struct envelope {
   version_number configuration_version = 0;  ///< Version that the sender holds.
   message content;
+  /// When it was sent, on a clock of the sender that counts suspensions; 0 if that is not known.
+  std::chrono::microseconds sent_at{0};
   friend bool operator==(const envelope&, const envelope&) = default;
 };
 
--- a/Source/wire/message_codec.cpp
+++ b/Source/wire/message_codec.cpp
@@ -77,14 +77,28 @@
   return {};
 }
 
-json header_of(const message& content, version_number configuration_version) {
+/// Largest time of a sender that is believed; it keeps sums with it within range.
+constexpr std::int64_t sent_at_limit_us = std::int64_t{1} << 52U;
+
+json header_of(const message& content, version_number configuration_version,
+               std::chrono::microseconds sent_at) {
   json document = json::object();
   document["protocol"] = protocol_version;
   document["kind"] = std::string(kind_of(content));
   document["configuration_version"] = configuration_version;
+  if (sent_at.count() > 0) {
+    document["sent_at_us"] = sent_at.count();
+  }
   return document;
 }
 
+std::chrono::microseconds sent_at_of(const json& document) {
+  const auto found = document.find("sent_at_us");
+  const bool valid = found != document.end() && found->is_number_integer() && *found > 0 &&
+                     *found < sent_at_limit_us;
+  return std::chrono::microseconds(valid ? found->get<std::int64_t>() : 0);
+}
+
 /// A CBOR map with one more entry, whose value is encoded already. The map has few entries, so that
 /// its first byte has their number.
 std::string with_entry(const json& document, const std::string& key, const std::string& value) {
@@ -124,7 +138,7 @@
 }
 
 std::string encode(const envelope& value) {
-  json document = header_of(value.content, value.configuration_version);
+  json document = header_of(value.content, value.configuration_version, value.sent_at);
   document["body"] =
       std::visit([](const auto& content) { return encode_value(content); }, value.content);
   std::string bytes;
@@ -133,8 +147,8 @@
 }
 
 std::string encode(version_number configuration_version, const shared_message& content,
-                   bool may_deflate) {
-  json document = header_of(content.content(), configuration_version);
+                   bool may_deflate, std::chrono::microseconds sent_at) {
+  json document = header_of(content.content(), configuration_version, sent_at);
   if (!may_deflate || content.deflated_body().empty()) {
     return with_entry(document, "body", content.body());
   }
@@ -162,6 +176,7 @@
     record_decoder decoder(unknown_keys::ignored);
     envelope value;
     value.configuration_version = document["configuration_version"].get<version_number>();
+    value.sent_at = sent_at_of(document);
     value.content = body_decoders[index](body, decoder);
     if (!decoder.ok()) {
       const decode_problem& first = decoder.problems().front();
--- a/Source/wire/message_codec.h
+++ b/Source/wire/message_codec.h
@@ -17,7 +17,8 @@
 
 /// The same for a message that several links carry; deflated if that is allowed and saves bytes.
 [[nodiscard]] std::string encode(version_number configuration_version,
-                                 const shared_message& content, bool may_deflate);
+                                 const shared_message& content, bool may_deflate,
+                                 std::chrono::microseconds sent_at = {});
 
 /// Decodes one message. Fails with `error_code::over_limit` for a message above
 /// `message_size_limit_bytes`, `error_code::malformed` for bytes that are not a CBOR map of the
--- a/Tests/sidecar/model_session.h
+++ b/Tests/sidecar/model_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -14,8 +15,12 @@
 /// One connection between two processes of the request model. What is sent waits in the inbox of
 /// the other end until its process reads it, and so does the end of the connection.
 struct model_session {
-  /// What one end has received and not read yet; nothing stands for the end of the connection.
-  using inbox = std::deque<std::optional<wire::message>>;
+  /// What one end has received and not read yet.
+  struct arrival {
+    time_point sent_at;
+    std::optional<wire::message> content;  ///< Nothing stands for the end of the connection.
+  };
+  using inbox = std::deque<arrival>;
 
   struct end {
     std::size_t process = 0;
@@ -29,6 +34,7 @@
   };
 
   std::array<end, 2> ends;
+  std::uint64_t number = 0;
   bool carries = true;  ///< Whether what is sent now arrives.
 
   [[nodiscard]] bool connects(std::size_t one, std::size_t other) const {
--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -132,7 +132,9 @@
       inbound_work::context{*one.timers, *one.log, one.counters, number_header},
       inbound_work::handlers{
           [](const service_name&) { return std::string(); },
-          [this, index](const instance_name& from) { return hear(index, from); },
+          [this, index](const inbound_request& asked) {
+            return hear(index, asked.from, asked.call.link);
+          },
           [this, index](const inbound_request_pointer& asked) { target_starts(index, asked); },
           [&one](std::uint64_t ticket) { one.runs.erase(ticket); },
           [&one](const instance_name& to, const wire::call_answer& answer) {
@@ -196,6 +198,7 @@
     return;
   }
   const auto session = std::make_shared<model_session>();
+  session->number = ++connections_;
   session->ends[0].process = one;
   session->ends[0].start = processes_[one]->starts;
   session->ends[1].process = other;
@@ -205,7 +208,7 @@
     wire::hello greeting;
     greeting.self.name = processes_[from]->name;
     greeting.self.incarnation = static_cast<std::uint64_t>(processes_[from]->starts);
-    arrive(session, to, greeting);
+    arrive(session, to, {timers_.now(), greeting});
   }
 }
 
@@ -215,24 +218,25 @@
   }
   session->carries = false;
   for (const std::size_t index : {session->ends[0].process, session->ends[1].process}) {
-    arrive(session, index, std::nullopt);
+    arrive(session, index, {timers_.now(), std::nullopt});
   }
 }
 
 void request_model::deliver(const session_pointer& session, std::size_t from,
                             const wire::message& content) {
-  timers_.post(network_delay, [this, session, to = session->other(from).process, content] {
+  timers_.post(network_delay, [this, session, to = session->other(from).process, content,
+                               sent_at = timers_.now()] {
     if (session->carries) {
-      arrive(session, to, content);
+      arrive(session, to, {sent_at, content});
     }
   });
 }
 
 void request_model::arrive(const session_pointer& session, std::size_t to,
-                           std::optional<wire::message> content) {
+                           model_session::arrival what) {
   model_session::end& end = session->of(to);
   if (!end.ended) {
-    end.unread.push_back(std::move(content));
+    end.unread.push_back(std::move(what));
     schedule_read(session, to);
   }
 }
@@ -257,9 +261,14 @@
   model_session::end& end = session->of(reader);
   const instance_name from = processes_[session->other(reader).process]->name;
   for (std::size_t count = 0; count < most && !end.unread.empty() && !end.ended; ++count) {
-    const std::optional<wire::message> content = std::move(end.unread.front());
+    model_session::arrival next = std::move(end.unread.front());
     end.unread.pop_front();
+    std::optional<wire::message>& content = next.content;
     if (content.has_value()) {
+      if (auto* call = std::get_if<wire::call>(&*content)) {
+        call->link = session->number;
+        call->transit = std::max(timers_.now() - next.sent_at - network_delay, duration::zero());
+      }
       end.greeted = true;
       processes_[reader]->connections->dispatcher().dispatch(from, *content);
     } else {
@@ -269,28 +278,30 @@
   }
 }
 
-bool request_model::hear(std::size_t reader, const instance_name& peer) {
+bool request_model::hear(std::size_t reader, const instance_name& peer, std::uint64_t link) {
   if (peer == processes_[reader]->name) {
     return true;
   }
+  bool open = false;
   for (const session_pointer& session : std::vector<session_pointer>(sessions_)) {
     const model_session::end& end = session->of(reader);
     if (session->connects(reader, positions_.at(peer)) && end.start == processes_[reader]->starts) {
       read(session, reader, end.unread.size());
+      open = open || (session->number == link && end.open());
     }
   }
-  return processes_[reader]->connections->linked(peer);
+  return open;
 }
 
 void request_model::session_ended(const session_pointer& session, std::size_t reader) {
   process& one = *processes_[reader];
   const std::size_t other = session->other(reader).process;
   const instance_name& peer = processes_[other]->name;
+  one.work->link_lost(peer, session->number);
   if (one.connections->session_to(other) != nullptr) {
     one.router->session_replaced(peer);
   } else {
     one.router->peer_lost(peer);
-    one.work->peer_lost(peer);
   }
   std::erase_if(sessions_, [](const session_pointer& held) {
     const auto forgotten = [](const model_session::end& end) {
@@ -494,8 +505,9 @@
     if (session->connects(one, other) && session->carries) {
       session->carries = false;
       for (const std::size_t index : {one, other}) {
-        timers_.post(silence_limit,
-                     [this, session, index] { arrive(session, index, std::nullopt); });
+        timers_.post(silence_limit, [this, session, index] {
+          arrive(session, index, {timers_.now(), std::nullopt});
+        });
       }
     }
   }
--- a/Tests/sidecar/request_model.h
+++ b/Tests/sidecar/request_model.h
@@ -93,11 +93,11 @@
   void connect(std::size_t one, std::size_t other);
   void disconnect(const session_pointer& session);
   void deliver(const session_pointer& session, std::size_t from, const wire::message& content);
-  void arrive(const session_pointer& session, std::size_t to, std::optional<wire::message> content);
+  void arrive(const session_pointer& session, std::size_t to, model_session::arrival what);
   void schedule_read(const session_pointer& session, std::size_t reader);
   void read(const session_pointer& session, std::size_t reader, std::size_t most);
-  /// Takes in all that a peer has sent; whether it still has a connection.
-  bool hear(std::size_t reader, const instance_name& peer);
+  /// Takes in all that a peer has sent; whether the connection of this number is still open.
+  bool hear(std::size_t reader, const instance_name& peer, std::uint64_t link);
   void session_ended(const session_pointer& session, std::size_t reader);
 
   void request_read(std::size_t number);
@@ -117,6 +117,7 @@
   std::vector<std::unique_ptr<process>> processes_;
   std::map<instance_name, std::size_t> positions_;
   std::vector<session_pointer> sessions_;
+  std::uint64_t connections_ = 0;
   std::map<std::pair<std::size_t, std::size_t>, time_point> silenced_at_;
   std::vector<request> requests_;
   timer_handle check_timer_;
--- a/Tests/sidecar/request_model_test.cpp
+++ b/Tests/sidecar/request_model_test.cpp
@@ -57,6 +57,20 @@
   CHECK_FALSE(model.broken().has_value());
 }
 
+TEST_CASE("a call that was on its way beyond its deadline does not start", "[sidecar][F7]") {
+  // Failure guarded against: the time that a call waited in a socket did not count against its
+  // deadline. Its cancellation cannot help if the caller's daemon stands still as well.
+  request_model model(1);
+  request_model::request_plan plan = call_from_0_to_1(true, milliseconds(500));
+  plan.deadline = milliseconds(500);
+  model.stall(1, milliseconds(800));
+  const std::size_t number = model.send(plan);
+  model.run_for(milliseconds(20));
+  model.stall(0, milliseconds(2'000));
+  model.run_for(seconds(3));
+  CHECK(model.starts_of(number) == 0);
+}
+
 TEST_CASE("a cancellation survives the loss of its link", "[sidecar][F7]") {
   // Failure guarded against: a cancellation that could not be written was forgotten.
   request_model model(1);
--- a/Tests/wire/message_codec_test.cpp
+++ b/Tests/wire/message_codec_test.cpp
@@ -55,6 +55,19 @@
                           });
   };
 
+  SECTION("with the time at which it was sent") {
+    const shared_message once(large);
+    const std::chrono::microseconds sent_at(1'234'567);
+    CHECK(received_as(encode(3, once, true, sent_at)) == envelope{3, large, sent_at});
+    CHECK(received_as(encode({3, large, sent_at})) == envelope{3, large, sent_at});
+    json document = json::from_cbor(encode({3, large, sent_at}));
+    for (const json& wrong : {json(-5), json("text"), json(std::int64_t{1} << 60)}) {
+      document["sent_at_us"] = wrong;
+      std::string bytes;
+      json::to_cbor(document, bytes);
+      CHECK(received_as(bytes).sent_at.count() == 0);
+    }
+  }
   SECTION("a small one, as it is") {
     const shared_message small(sample_call().content);
     CHECK(encode(3, small, true) == encode(3, small, false));
