Do not take a second copy of a refusal for the next request's

Cause: a response without an id was taken for the answer to the present request if it was no success; a copy of a refusal that came after the next request had been written refused that one. A response with two ids was passed over, and the request waited for its deadline.

A refusal without an id is believed on a connection that has carried no other request, and such a connection is not used again. On one that has, it proves nothing: the request ends as garbled, which may have run. So do several ids.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -34,6 +34,24 @@
   return response.status >= status_success && response.status < status_first_redirect;
 }
 
+/// Whose answer a target's response is, by the id that it echoes. A refusal may come without an id.
+/// It belongs to the request if the connection has carried no other one; later it may as well be a
+/// second copy of an earlier refusal, and does not prove that this request has not run.
+response_match match_target_answer(const std::string& echoed, const std::string& id, bool success,
+                                   bool new_connection) {
+  if (echoed == id && !id.empty()) {
+    return response_match::ours;
+  }
+  if (!echoed.empty()) {
+    // Several ids say nothing certain.
+    return echoed.find(',') == std::string::npos ? response_match::stray : response_match::unknown;
+  }
+  if (success && !id.empty()) {
+    return response_match::stray;
+  }
+  return new_connection ? response_match::ours_last : response_match::unknown;
+}
+
 }  // namespace
 
 inbound_gateway::inbound_gateway(const sidecar_context& shared, handlers callbacks)
@@ -71,12 +89,11 @@
 }
 
 void inbound_gateway::run(const inbound_request_pointer& one) {
-  const std::string id = work_.attempt_id_of(*one);
-  const std::string name = shared_.contract.headers.attempt_id;
-  // A target may still send a second response to an earlier request on the same connection.
-  const response_filter answers = [id, name](const http_response& response) {
-    const std::string& echoed = header_value(response.headers, name);
-    return echoed == id || (echoed.empty() && !is_success(response));
+  const response_filter answers = [id = work_.attempt_id_of(*one),
+                                   name = shared_.contract.headers.attempt_id](
+                                      const http_response& response, bool new_connection) {
+    return match_target_answer(header_value(response.headers, name), id, is_success(response),
+                               new_connection);
   };
   exchanges_[one->ticket] = target_.send(
       outgoing_request(*one), one->deadline - shared_.loop.now() + last_word_time,
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -195,7 +195,12 @@
   bool response_read() {
     const bool keep = reader_->keep_alive();
     http_response response = reader_->take();
-    if (call_->answers != nullptr && !call_->answers(response)) {
+    const response_match match = match_of(response);
+    if (match == response_match::unknown) {
+      end(http_outcome::garbled);
+      return true;
+    }
+    if (match == response_match::stray) {
       if (++stray_responses_ > stray_responses_limit) {
         end(http_outcome::garbled);
         return true;
@@ -210,11 +215,16 @@
       idle_limit_ = *stated;
     }
     const bool request_unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
-    broken_ = !keep || !input_.empty() || stray_responses_ > 0 || request_unsent;
+    broken_ = !keep || !input_.empty() || stray_responses_ > 0 || request_unsent ||
+              match == response_match::ours_last;
     complete({http_outcome::answered, std::move(response), !reused_, false});
     return true;
   }
 
+  [[nodiscard]] response_match match_of(const http_response& response) const {
+    return call_->answers == nullptr ? response_match::ours : call_->answers(response, !reused_);
+  }
+
   void complete(const http_result& result) {
     const call_pointer call = std::move(call_);
     call_ = nullptr;
@@ -254,8 +264,8 @@
     if (call_ != nullptr && reader_->begun() && reader_->read_end() == read_progress::complete) {
       broken_ = true;
       http_response response = reader_->take();
-      const bool ours = call_->answers == nullptr || call_->answers(response);
-      if (ours) {
+      const response_match match = match_of(response);
+      if (match == response_match::ours || match == response_match::ours_last) {
         complete({http_outcome::answered, std::move(response), !reused_, false});
         return;
       }
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -40,9 +40,19 @@
   bool connection_refused = false;  ///< Whether no connection could be established.
 };
 
-/// Says whether a response answers a request. A connection may still carry a late response to an
-/// earlier request, which must not be taken for this one's.
-using response_filter = std::function<bool(const http_response&)>;
+/// Whose answer a response is. A connection may still carry a late or second response to an earlier
+/// request, which must not be taken for this one's.
+enum class response_match {
+  ours,       ///< It answers the request.
+  ours_last,  ///< It does, but a copy of it could not be told from the next answer: the connection
+              ///< is not used again.
+  stray,      ///< It answers another request and is passed over.
+  unknown,    ///< It may be either, so it proves nothing; the request ends as `garbled`.
+};
+
+/// Says whose answer a response is that arrives for a request; the connection is new if it has
+/// carried no other request.
+using response_filter = std::function<response_match(const http_response&, bool new_connection)>;
 
 /// Properties of all connections of a client.
 struct http_client_options {
@@ -74,8 +84,8 @@
   http_client& operator=(const http_client&) = delete;
 
   /// Sends a request; `done` is called exactly once, in a later turn of the loop. A request that is
-  /// still waiting for a connection at the time-out ends as `not_sent`. Responses that `answers`
-  /// rejects are passed over.
+  /// still waiting for a connection at the time-out ends as `not_sent`. Without `answers`, each
+  /// response is taken for the request's.
   http_call send(http_request request, duration timeout, callback done,
                  response_filter answers = nullptr);
 
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -144,7 +144,7 @@
 
 void test_instance::announce_again(const std::string& state, std::uint64_t sequence) {
   const json heartbeat = {{"service", service},
-                          {"address", "127.0.0.1:" + std::to_string(target->port())},
+                          {"address", "127.0.0.1:" + std::to_string(options_.target.endpoint.port)},
                           {"zone", "a"},
                           {"version", "v1"},
                           {"capacity", 4},
@@ -167,11 +167,12 @@
   return *instances.back();
 }
 
-void mesh_fixture::configure(std::uint64_t version, const std::string& service) {
+void mesh_fixture::configure(std::uint64_t version, const std::string& service,
+                             std::chrono::milliseconds timeout) {
   const auto route = [&](const char* name, const char* prefix, const char* kind) {
-    return json{{"name", name},      {"host", "h.example"}, {"pathPrefix", prefix},
-                {"routeType", kind}, {"timeoutMs", 2'000},  {"targetLatencyMs", 500},
-                {"priority", 1},     {"service", service},  {"attempts", 2}};
+    return json{{"name", name},      {"host", "h.example"},          {"pathPrefix", prefix},
+                {"routeType", kind}, {"timeoutMs", timeout.count()}, {"targetLatencyMs", 500},
+                {"priority", 1},     {"service", service},           {"attempts", 2}};
   };
   const json document = {
       {"version", version},
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -88,7 +88,8 @@
  public:
   test_instance& add(const std::string& name, const std::string& service);
   /// Writes a configuration with a route "/safe/" and a route "/once/" to the service "s".
-  void configure(std::uint64_t version, const std::string& service);
+  void configure(std::uint64_t version, const std::string& service,
+                 std::chrono::milliseconds timeout = std::chrono::milliseconds(2'000));
   /// Waits until all instances are ready and know all others.
   void start();
   http_result call(test_instance& at, const std::string& method, const std::string& path,
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "loop_client.h"
+#include "scripted_server.h"
 #include "transport/tcp_listener.h"
 
 namespace crocusdoor {
@@ -98,6 +100,43 @@
 
 }  // namespace
 
+TEST_CASE("a response that ends before it is whole is no answer, at every byte", "[P4]") {
+  // Failure guarded against: an end in the middle of a head was taken for the end of a response
+  // that states no length.
+  const bool reset = GENERATE(false, true);
+  const std::string interim = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+  const std::string length = GENERATE("", "Content-Length: 4\r\n");
+  const std::string head = interim + "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n" + length + "\r\n";
+  const std::string whole = head + "body";
+  INFO((reset ? "reset" : "end") << " of " << whole);
+  event_loop loop;
+  std::size_t cut = 0;
+  scripted_server server(loop, 0, [&](scripted_server::connection& from, const std::string&) {
+    from.write(whole.substr(0, cut));
+    if (reset) {
+      from.reset();
+    } else {
+      from.close();
+    }
+  });
+  for (cut = 0; cut <= whole.size(); ++cut) {
+    loop_client client(loop, server.port());
+    const http_result result = client.send("GET", "/");
+    const bool has_end = !length.empty() || !reset;
+    const bool whole_read = length.empty() ? cut >= head.size() : cut == whole.size();
+    INFO("cut after " << cut << " bytes");
+    if (!whole_read) {
+      CHECK(result.outcome != http_outcome::answered);
+    } else if (has_end && !reset) {
+      CHECK(result.outcome == http_outcome::answered);
+      CHECK(result.response.body == whole.substr(head.size(), cut - head.size()));
+    } else if (length.empty()) {
+      // Without a length only an end in order says that the response is whole.
+      CHECK(result.outcome != http_outcome::answered);
+    }
+  }
+}
+
 TEST_CASE("a server whose bytes never end does not occupy its client", "[F12]") {
   const std::string status = "HTTP/1.1 200 OK\r\n";
   const std::string stray = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
@@ -136,8 +175,9 @@
           outcome = result.outcome;
           loop.stop();
         },
-        [](const http_response& response) {
-          return header_value(response.headers, "X-Id") == "own";
+        [](const http_response& response, bool) {
+          return header_value(response.headers, "X-Id") == "own" ? response_match::ours
+                                                                 : response_match::stray;
         });
     loop.run();
     CHECK(outcome == http_outcome::garbled);
