Take nothing during a stop that could outlive the process

What callers saw: a closed connection in place of an answer (LOST). Cause: a process that is stopped takes new connections for 3 s and ends after 5.4 s; a request that came late with 2.5 s or 3 s to its deadline could still run then, and was cut. Evidence: with 2.7 s of work and a deadline of 3 s one request is cut in the new test on the code before.

While a process stops, a request or a call whose deadline lies beyond its end is refused at once as not run ("stopping"), so that its caller goes elsewhere with all its time. Requests with shorter deadlines are taken as before.

"a sidecar that stops takes nothing that could outlive it" failed (1 cut) and passes, for the caller's and for the target's sidecar.

--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -41,9 +41,12 @@
   one->call = request;
   one->deadline = now + request.deadline_left_ms - request.transit;
   one->ticket = next_ticket_++;
-  const std::string reason = received == receipt::refused
-                                 ? "request_id_refused"
-                                 : callbacks_.reason_to_refuse(request.service);
+  std::string reason = callbacks_.reason_to_refuse(request.service);
+  if (received == receipt::refused) {
+    reason = "request_id_refused";
+  } else if (ends_at_.has_value() && one->deadline > *ends_at_) {
+    reason = "stopping";
+  }
   if (!reason.empty()) {
     refuse(one, reason, leaving_retry_after);
     return;
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -72,6 +72,8 @@
   /// The target has answered, or the exchange with it has ended otherwise.
   void finish(const inbound_request_pointer& one, wire::call_answer value, bool failed);
 
+  /// The process ends then, so that requests with later deadlines are refused.
+  void end_at(time_point when) { ends_at_ = when; }
   void set_slots(std::int32_t slots);
   /// Refuses the waiting requests because the target leaves.
   void refuse_waiting();
@@ -110,6 +112,7 @@
   std::deque<std::uint64_t> admitted_;  ///< Have a slot and start next.
   timer_handle start_timer_;
   std::uint64_t next_ticket_ = 1;
+  std::optional<time_point> ends_at_;
   timer_handle queue_timer_;
   timer_handle ledger_timer_;
 };
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -60,6 +60,11 @@
     return;
   }
   set_deadline();
+  const std::optional<time_point> end = services_.end_of_process();
+  if (end.has_value() && deadline_ + last_answer_time > *end) {
+    refuse("stopping", default_retry_after);
+    return;
+  }
   prepare_call();
   services_.retries[service_].request_started(arrived_at_, shared_.retries.window);
   const duration patience = deadline_ - arrived_at_ + last_answer_time;
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "daemon/call_router.h"
 #include "mesh/retry_window.h"
@@ -20,6 +21,8 @@
   weighted_rotation& rotation;
   std::map<service_name, retry_window>& retries;
   std::function<route_table_pointer()> configuration;
+  /// When this process ends; nothing while it is not being stopped.
+  std::function<std::optional<time_point>()> end_of_process;
   /// Daemons that share the retry budget.
   std::function<std::size_t()> daemon_count;
 };
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -102,7 +102,8 @@
                             }});
   services_ = std::make_unique<outbound_services>(outbound_services{
       shared_, *router_, upstreams_, rotation_, retries_,
-      [this] { return configurations_->current(); }, [this] { return finder_->daemon_count(); }});
+      [this] { return configurations_->current(); }, [this] { return end_of_process(); },
+      [this] { return finder_->daemon_count(); }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
@@ -358,6 +359,7 @@
   stop_began_ = loop_.now();
   busy_at_ = stop_began_;
   configurations_->leave();
+  gateway_->work().end_at(*end_of_process());
   log_.info("stop_began",
             {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
   status_changed();
@@ -367,6 +369,11 @@
   stop_timer_ = loop_.every(stop_check_interval, [this] { continue_stop(); });
 }
 
+std::optional<time_point> sidecar_daemon::end_of_process() const {
+  return stopping_ ? std::optional(stop_began_ + options_.bounds.stop_s - stop_reserve)
+                   : std::nullopt;
+}
+
 void sidecar_daemon::continue_stop() {
   const duration since = loop_.now() - stop_began_;
   if (since < unready_notice_time) {
@@ -382,7 +389,7 @@
   if (!idle()) {
     busy_at_ = loop_.now();
   }
-  if (loop_.now() - busy_at_ >= flush_time || since >= options_.bounds.stop_s - stop_reserve) {
+  if (loop_.now() - busy_at_ >= flush_time || loop_.now() >= end_of_process()) {
     finish_stop();
   }
 }
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "daemon/peer_mesh.h"
 #include "sidecar/configuration_exchange.h"
@@ -65,6 +66,8 @@
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
   void measure_loop_delay();
+  /// When a stop ends at the latest; nothing if none has begun.
+  [[nodiscard]] std::optional<time_point> end_of_process() const;
   void continue_stop();
   void finish_stop();
   [[nodiscard]] bool idle() const;
--- a/Tests/sidecar/sidecar_mesh_test.cpp
+++ b/Tests/sidecar/sidecar_mesh_test.cpp
@@ -290,6 +290,64 @@
   }
 }
 
+TEST_CASE("a sidecar that stops takes nothing that could outlive it", "[sidecar][P5][P8]") {
+  // Failure guarded against: a request that was taken 3 s after SIGTERM with a deadline of 3 s was
+  // cut when the process ended after 5.4 s.
+  mesh_fixture mesh;
+  test_instance& origin = mesh.add("origin", "other");
+  test_instance& target = mesh.add("target", "s");
+  mesh.configure(1, "s", std::chrono::milliseconds(3'000));
+  mesh.start();
+  std::vector<timer_handle> timers;
+  const bool target_stops = GENERATE(false, true);
+  target.on_request = [&](const std::shared_ptr<http_exchange>& exchange) {
+    timers.push_back(mesh.loop.after(std::chrono::milliseconds(2'700), [&target, exchange] {
+      target.respond(*exchange, 200, "done");
+    }));
+  };
+  std::map<std::string, int> statuses;  // By the id of the request.
+  int cut = 0;
+  int id = 0;
+  const time_point began = mesh.loop.now();
+  const timer_handle traffic = mesh.loop.every(std::chrono::milliseconds(100), [&] {
+    if (mesh.loop.now() - began < std::chrono::milliseconds(2'450)) {
+      return;  // Earlier ones would take all slots.
+    }
+    const std::string name = "late-" + std::to_string(++id);
+    origin.caller->send({"POST",
+                         "/once/",
+                         {{"Host", "h.example"},
+                          {"X-Attempt-Id", name},
+                          {"X-Deadline-Ms", "3000"},
+                          {"Connection", "close"}},
+                         "x"},
+                        std::chrono::seconds(7), [&, name](const http_result& result) {
+                          statuses[name] = result.response.status;
+                          cut += result.outcome == http_outcome::interrupted ? 1 : 0;
+                        });
+  });
+  test_instance& stopped = target_stops ? target : origin;
+  stopped.daemon->begin_stop();
+  mesh.loop.run();
+  // The process has ended; what it had not finished is cut.
+  stopped.daemon = nullptr;
+  mesh.run_for(std::chrono::seconds(4), [] { return false; });
+  CHECK(cut == 0);
+  int refused = 0;
+  std::set<std::string> ran;
+  for (const http_request& one : target.received) {
+    ran.insert(header_value(one.headers, "X-Attempt-Id"));
+  }
+  for (const auto& [name, status] : statuses) {
+    refused += status == 503 ? 1 : 0;
+    INFO(name << " got " << status);
+    // 0: the connection was refused because the process had ended.
+    CHECK((status == 200 || status == 503 || status == 0));
+    CHECK((status != 503 || !ran.contains(name)));
+  }
+  CHECK(refused > 0);
+}
+
 TEST_CASE("a sidecar that stops finishes what it has read", "[sidecar][P8]") {
   // Failure guarded against: a request taken more than 3 s after SIGTERM was cut when the process
   // ended (crewshare-mesh, mix, seed 622042409225; hunt-35eb-7).
