Notice that a client has left behind more input than is read

What callers saw: nothing; an upstream went on for a client that had left.

"a client that has sent more than is read is still noticed when it closes" failed without the change and passes with it.

--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -129,6 +129,11 @@
         }
         break;
       case phase::answering:
+        if (pending_input() >= input_limit_bytes && client_has_left()) {
+          // Nothing more is read from this connection, so that its end would not be seen.
+          client_closed();
+        }
+        break;
       case phase::closed:
         break;
     }
--- a/Tests/transport/http_server_test.cpp
+++ b/Tests/transport/http_server_test.cpp
@@ -61,6 +61,28 @@
   CHECK_FALSE(called);
 }
 
+TEST_CASE("a client that has sent more than is read is still noticed when it closes", "[F7]") {
+  // Failure guarded against: reading stops at a limit while a request is answered, and the end of
+  // the connection was not seen behind the unread bytes.
+  event_loop loop;
+  std::shared_ptr<http_exchange> held;
+  bool closed = false;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    held = exchange;
+    exchange->on_disconnect([&] { closed = true; });
+  });
+  loop_client client(loop, server.port());
+  raw_connection caller(server.port());
+  caller.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(client.run_until([&] { return held != nullptr; }));
+  caller.write(std::string(150'000, 'x'));
+  const time_point written_at = loop.now();
+  client.run_until([&] { return loop.now() - written_at > std::chrono::milliseconds(50); });
+  CHECK_FALSE(closed);
+  caller.close();
+  CHECK(client.run_until([&] { return closed; }));
+}
+
 TEST_CASE("a server that stops accepting answers what callers have sent before", "[P8]") {
   // Failure guarded against: connections that were established but not accepted yet, or whose bytes
   // were unread, were closed without an answer at the end of a stop.
