End the work of a lost link in crocusdoord too

A lost link ends the calls that it brought, as in inbound_work: waiting ones are not run, idempotent ones that run are stopped, run-once ones go on. An unmatched cancellation is recorded in the ledger. Not changed here: a call starts as soon as it is read, before what its sender has sent behind it.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -148,6 +148,9 @@
   callbacks.session_replaced = [this](const instance_name& peer) {
     router_->session_replaced(peer);
   };
+  callbacks.link_lost = [this](const instance_name& peer, std::uint64_t link) {
+    target_->link_lost(peer, link);
+  };
   callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
   callbacks.version_seen = [this](const instance_name& peer, version_number version) {
     distributor_->version_seen(peer, version);
--- a/Source/daemon/target_gateway.cpp
+++ b/Source/daemon/target_gateway.cpp
@@ -283,29 +283,52 @@
   for (const auto& [ticket, one] : admitted_) {
     const bool same = one->from == from && one->request.id == id &&
                       one->request.sender_incarnation == sender_incarnation;
-    if (!same) {
-      continue;
-    }
-    // The outcome of a run-once request matters even if nobody waits for it any more.
-    if (one->running && one->request.claim_held.has_value()) {
+    if (same) {
+      abandon(work_pointer(one), "cancelled");
       return;
     }
-    const work_pointer found = one;
-    const cancel_result result = admission_.cancel(ticket, shared_.loop.now());
-    if (result.outcome == cancel_outcome::was_waiting) {
-      refuse(found, "cancelled", duration::zero());
-      apply(result.changes);
-    } else if (result.outcome == cancel_outcome::was_running) {
-      target_.cancel(found->target_call);
-      const admission_changes freed = admission_.finished(found->ticket, shared_.loop.now());
-      wire::call_answer value;
-      value.reason = "cancelled";
-      answer(found, std::move(value));
-      apply(result.changes);
-      apply(freed);
+  }
+  // The call may arrive later, by a link that was opened before this one.
+  const wire::call_status_answer known =
+      ledger_.query(from, sender_incarnation, id, shared_.loop.now());
+  shared_.counters.count_cancellation("unmatched");
+  LOG_EVENT(INFO, "cancellation_unmatched")
+      << field("from", from) << field("call", id) << field("known", known.answer.has_value());
+}
+
+void target_gateway::link_lost(const instance_name& peer, std::uint64_t link) {
+  std::vector<work_pointer> concerned;
+  for (const auto& [ticket, one] : admitted_) {
+    if (one->from == peer && one->request.link == link) {
+      concerned.push_back(one);
     }
+  }
+  for (const work_pointer& one : concerned) {
+    if (!one->running || one->request.idempotent) {
+      abandon(one, "link_lost");
+    }
+  }
+}
+
+/// Ends a request for which nobody waits any more.
+void target_gateway::abandon(const work_pointer& one, const std::string& reason) {
+  // The outcome of a run-once request matters even then.
+  if (one->running && one->request.claim_held.has_value()) {
     return;
   }
+  const cancel_result result = admission_.cancel(one->ticket, shared_.loop.now());
+  if (result.outcome == cancel_outcome::was_waiting) {
+    refuse(one, reason, duration::zero());
+    apply(result.changes);
+  } else if (result.outcome == cancel_outcome::was_running) {
+    target_.cancel(one->target_call);
+    const admission_changes freed = admission_.finished(one->ticket, shared_.loop.now());
+    wire::call_answer value;
+    value.reason = reason;
+    answer(one, std::move(value));
+    apply(result.changes);
+    apply(freed);
+  }
 }
 
 wire::call_status_answer target_gateway::status(const instance_name& from,
--- a/Source/daemon/target_gateway.h
+++ b/Source/daemon/target_gateway.h
@@ -37,6 +37,9 @@
   /// `send_answer`.
   void receive(const instance_name& from, version_number sender_version, const wire::call& request);
   void cancel(const instance_name& from, std::uint64_t sender_incarnation, wire::request_id id);
+  /// A link to a peer is lost. The peer gives up its idempotent calls then, and asks over another
+  /// link what became of the others.
+  void link_lost(const instance_name& peer, std::uint64_t link);
   [[nodiscard]] wire::call_status_answer status(const instance_name& from,
                                                 const wire::call_status& query);
 
@@ -60,6 +63,7 @@
   void apply(const admission_changes& changes);
   void refuse(const work_pointer& one, const std::string& reason, duration retry_after);
   void answer(const work_pointer& one, wire::call_answer value);
+  void abandon(const work_pointer& one, const std::string& reason);
   void report_crash(const work_pointer& one);
   void probe_target();
   void set_ready(bool ready);
