--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -6,23 +6,19 @@
 #include <utility>
 
 #include "model_log.h"
+#include "request_model_process.h"
 
 namespace crocusdoor {
 
 namespace {
 
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr std::size_t process_count = 5;
 constexpr std::int32_t slots = 2;
-constexpr duration network_delay = microseconds(700);
-/// Messages of one connection that a process reads before it does something else.
-constexpr std::size_t messages_per_turn = 2;
 /// Time in which a caller's leaving must have its effect.
 constexpr duration leaving_limit = milliseconds(500);
-constexpr duration silence_limit = milliseconds(800);
 constexpr duration last_answer_time = milliseconds(40);
 constexpr duration check_interval = milliseconds(20);
 constexpr std::size_t attempts_limit = 3;
@@ -31,70 +27,6 @@
 
 }  // namespace
 
-/// One daemon with its target, over its restarts.
-struct request_model::process {
-  instance_name name;
-  int starts = 0;
-  time_point stalled_until{};
-  metrics counters;
-  std::unique_ptr<process_timers> timers;
-  std::unique_ptr<decision_log> log;
-  std::unique_ptr<links> connections;
-  std::unique_ptr<call_router> router;
-  std::unique_ptr<inbound_work> work;
-  std::map<std::uint64_t, run> runs;  ///< At the target, by ticket.
-
-  [[nodiscard]] bool up() const { return work != nullptr; }
-};
-
-/// The connections of one process.
-class request_model::links : public peer_links {
- public:
-  links(request_model& model, std::size_t self) : model_(model), self_(self) {}
-
-  [[nodiscard]] message_dispatcher& dispatcher() noexcept override { return dispatcher_; }
-
-  bool send(const instance_name& peer, const wire::message& content) override {
-    const session_pointer session = session_to(model_.positions_.at(peer));
-    if (session == nullptr) {
-      return false;
-    }
-    model_.deliver(session, self_, content);
-    return true;
-  }
-
-  void ensure_link(const instance_name&) override {}
-
-  [[nodiscard]] bool linked(const instance_name& peer) const override {
-    return session_to(model_.positions_.at(peer)) != nullptr;
-  }
-
-  [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const override {
-    const auto found = incarnations_.find(peer);
-    return found == incarnations_.end() ? 0 : found->second;
-  }
-
-  void greet(const instance_name& peer, std::uint64_t incarnation) {
-    incarnations_[peer] = incarnation;
-  }
-
-  /// The latest connection to a process that is open at this end.
-  [[nodiscard]] session_pointer session_to(std::size_t peer) const {
-    for (auto one = model_.sessions_.rbegin(); one != model_.sessions_.rend(); ++one) {
-      if ((*one)->connects(self_, peer) && (*one)->of(self_).open()) {
-        return *one;
-      }
-    }
-    return nullptr;
-  }
-
- private:
-  request_model& model_;
-  std::size_t self_;
-  message_dispatcher dispatcher_;
-  std::map<instance_name, std::uint64_t> incarnations_;
-};
-
 request_model::request_model(std::uint64_t seed) : random_(seed) {
   for (std::size_t index = 0; index < process_count; ++index) {
     processes_.push_back(std::make_unique<process>());
@@ -193,124 +125,6 @@
   one.timers = nullptr;
 }
 
-void request_model::connect(std::size_t one, std::size_t other) {
-  if (!processes_[one]->up() || !processes_[other]->up()) {
-    return;
-  }
-  const auto session = std::make_shared<model_session>();
-  session->number = ++connections_;
-  session->ends[0].process = one;
-  session->ends[0].start = processes_[one]->starts;
-  session->ends[1].process = other;
-  session->ends[1].start = processes_[other]->starts;
-  sessions_.push_back(session);
-  for (const auto& [from, to] : {std::pair(one, other), std::pair(other, one)}) {
-    wire::hello greeting;
-    greeting.self.name = processes_[from]->name;
-    greeting.self.incarnation = static_cast<std::uint64_t>(processes_[from]->starts);
-    arrive(session, to, {timers_.now(), greeting});
-  }
-}
-
-void request_model::disconnect(const session_pointer& session) {
-  if (!session->carries) {
-    return;
-  }
-  session->carries = false;
-  for (const std::size_t index : {session->ends[0].process, session->ends[1].process}) {
-    arrive(session, index, {timers_.now(), std::nullopt});
-  }
-}
-
-void request_model::deliver(const session_pointer& session, std::size_t from,
-                            const wire::message& content) {
-  timers_.post(network_delay, [this, session, to = session->other(from).process, content,
-                               sent_at = timers_.now()] {
-    if (session->carries) {
-      arrive(session, to, {sent_at, content});
-    }
-  });
-}
-
-void request_model::arrive(const session_pointer& session, std::size_t to,
-                           model_session::arrival what) {
-  model_session::end& end = session->of(to);
-  if (!end.ended) {
-    end.unread.push_back(std::move(what));
-    schedule_read(session, to);
-  }
-}
-
-void request_model::schedule_read(const session_pointer& session, std::size_t reader) {
-  model_session::end& end = session->of(reader);
-  process& one = *processes_[reader];
-  if (end.read_scheduled || !one.up() || one.starts != end.start) {
-    return;
-  }
-  end.read_scheduled = true;
-  one.timers->post([this, session, reader] {
-    session->of(reader).read_scheduled = false;
-    read(session, reader, messages_per_turn);
-    if (!session->of(reader).unread.empty()) {
-      schedule_read(session, reader);
-    }
-  });
-}
-
-void request_model::read(const session_pointer& session, std::size_t reader, std::size_t most) {
-  model_session::end& end = session->of(reader);
-  const instance_name from = processes_[session->other(reader).process]->name;
-  for (std::size_t count = 0; count < most && !end.unread.empty() && !end.ended; ++count) {
-    model_session::arrival next = std::move(end.unread.front());
-    end.unread.pop_front();
-    std::optional<wire::message>& content = next.content;
-    if (content.has_value()) {
-      if (auto* call = std::get_if<wire::call>(&*content)) {
-        call->link = session->number;
-        call->transit = std::max(timers_.now() - next.sent_at - network_delay, duration::zero());
-      }
-      end.greeted = true;
-      processes_[reader]->connections->dispatcher().dispatch(from, *content);
-    } else {
-      end.ended = true;
-      processes_[reader]->timers->post([this, session, reader] { session_ended(session, reader); });
-    }
-  }
-}
-
-bool request_model::hear(std::size_t reader, const instance_name& peer, std::uint64_t link) {
-  if (peer == processes_[reader]->name) {
-    return true;
-  }
-  bool open = false;
-  for (const session_pointer& session : std::vector<session_pointer>(sessions_)) {
-    const model_session::end& end = session->of(reader);
-    if (session->connects(reader, positions_.at(peer)) && end.start == processes_[reader]->starts) {
-      read(session, reader, end.unread.size());
-      open = open || (session->number == link && end.open());
-    }
-  }
-  return open;
-}
-
-void request_model::session_ended(const session_pointer& session, std::size_t reader) {
-  process& one = *processes_[reader];
-  const std::size_t other = session->other(reader).process;
-  const instance_name& peer = processes_[other]->name;
-  one.work->link_lost(peer, session->number);
-  if (one.connections->session_to(other) != nullptr) {
-    one.router->session_replaced(peer);
-  } else {
-    one.router->peer_lost(peer);
-  }
-  std::erase_if(sessions_, [](const session_pointer& held) {
-    const auto forgotten = [](const model_session::end& end) {
-      return end.ended && end.unread.empty();
-    };
-    return forgotten(held->ends[0]) && forgotten(held->ends[1]);
-  });
-}
-
 std::size_t request_model::send(const request_plan& plan) {
   const std::size_t number = requests_.size();
   requests_.push_back({});
@@ -479,7 +293,7 @@
 bool request_model::silent_lately(std::size_t one, std::size_t other) const {
   const auto found = silenced_at_.find(std::minmax(one, other));
   return found != silenced_at_.end() &&
-         timers_.now() - found->second < silence_limit + leaving_limit + seconds(1);
+         timers_.now() - found->second < request_model::silence_limit + leaving_limit + seconds(1);
 }
 
 void request_model::stall(std::size_t index, duration span) {
@@ -490,30 +304,6 @@
   }
 }
 
-void request_model::reset(std::size_t one, std::size_t other, duration gap) {
-  for (const session_pointer& session : std::vector<session_pointer>(sessions_)) {
-    if (session->connects(one, other)) {
-      disconnect(session);
-    }
-  }
-  timers_.post(gap, [this, one, other] { connect(one, other); });
-}
-
-void request_model::silence(std::size_t one, std::size_t other) {
-  silenced_at_[std::minmax(one, other)] = timers_.now();
-  for (const session_pointer& session : std::vector<session_pointer>(sessions_)) {
-    if (session->connects(one, other) && session->carries) {
-      session->carries = false;
-      for (const std::size_t index : {one, other}) {
-        timers_.post(silence_limit, [this, session, index] {
-          arrive(session, index, {timers_.now(), std::nullopt});
-        });
-      }
-    }
-  }
-  timers_.post(silence_limit + milliseconds(50), [this, one, other] { connect(one, other); });
-}
-
 void request_model::kill(std::size_t index, duration down) {
   end_process(index);
   timers_.post(down, [this, index] {
--- a/Tests/sidecar/request_model.h
+++ b/Tests/sidecar/request_model.h
@@ -29,6 +29,9 @@
 /// that was reported as not run has not run and never does.
 class request_model {
  public:
+  /// After which a connection that has fallen silent is seen to end.
+  static constexpr duration silence_limit = std::chrono::milliseconds(800);
+
   explicit request_model(std::uint64_t seed);
   ~request_model();
   request_model(const request_model&) = delete;
