--- a/Tests/sidecar/target_answers_test.cpp
+++ b/Tests/sidecar/target_answers_test.cpp
@@ -84,7 +84,7 @@
   target.announce("ready");
   REQUIRE(
       mesh.run_until([&] { return origin.daemon->available_upstreams(service_name("s")) == 1; }));
-  const http_result second = mesh.call(origin, "POST", "/once/", "x");
+  http_result second = mesh.call(origin, "POST", "/once/", "x");
   CHECK(requests == 2);
   return second;
 }
