Say of which link the work of lost links is

Since calls know the link that brought them, it counts the requests of that link, and those of a process that has been replaced. Wording only.

Formatter clean; sidecar_tests and daemon_tests pass (arm64).

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -53,8 +53,9 @@
                       "Callers that closed before their answer, by when it was seen")),
       cancellations_(make_family(registry_, "crocusdoor_cancellations_total",
                                  "Cancellations of calls, sent and received, by result")),
-      work_of_lost_links_(make_family(registry_, "crocusdoor_work_of_lost_links_total",
-                                      "Requests of a peer when its last link was lost, by state")),
+      work_of_lost_links_(
+          make_family(registry_, "crocusdoor_work_of_lost_links_total",
+                      "Requests that a link had brought when it was lost, by state")),
       adoptions_(make_family(registry_, "crocusdoor_configuration_offers_total",
                              "Configuration versions offered to this instance by result")),
       catch_ups_(make_family(registry_, "crocusdoor_configuration_catch_ups_total",
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -29,7 +29,7 @@
   void count_departed_caller(const std::string& seen);
   /// A cancellation of a call, at either end, by what came of it.
   void count_cancellation(const std::string& result);
-  /// Work of a peer at the moment its last link was lost, by its state.
+  /// Work that a link of a peer had brought at the moment it was lost, by its state.
   void count_work_of_lost_link(const std::string& state, std::size_t requests);
   void count_adoption(const std::string& result);
   /// A step to get a version that a peer has and this daemon has not.
