Log which requests were in flight when a target ended

Cause: target_exchange_failed has the attempt id, which is new each time a caller repeats a request, and target_connection_lost stands for a reset connection as well as for the end of the target.

Change: target_crash_watch asks for proof of an end after a lost exchange (the address refuses connections, or a heartbeat of a later start). The line target_crashed names the digests of the requests in flight; a counter has the evidence. The count of crashes of a request (crash_counts) is there as a type with its tests; nothing decides by it yet.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -56,6 +56,8 @@
       work_of_lost_links_(
           make_family(registry_, "crocusdoor_work_of_lost_links_total",
                       "Requests that a link had brought when it was lost, by state")),
+      target_crashes_(make_family(registry_, "crocusdoor_target_crashes_total",
+                                  "Ends of the target with requests in flight by evidence")),
       configuration_offers_(
           make_family(registry_, "crocusdoor_configuration_offers_total",
                       "Configuration versions offered to this instance by result")),
@@ -116,6 +118,10 @@
   work_of_lost_links_->Add({{"state", state}}).Increment(static_cast<double>(requests));
 }
 
+void metrics::count_target_crash(const std::string& evidence) {
+  target_crashes_->Add({{"evidence", evidence}}).Increment();
+}
+
 void metrics::count_configuration_offer(const std::string& result) {
   configuration_offers_->Add({{"result", result}}).Increment();
 }
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -32,6 +32,8 @@
   void count_cancellation(const std::string& result);
   /// Counts requests that had arrived over a link when it was lost, by their state.
   void count_work_of_lost_link(const std::string& state, std::size_t requests);
+  /// Counts an end of the target with requests in flight, by what showed it.
+  void count_target_crash(const std::string& evidence);
   void count_configuration_offer(const std::string& result);
   /// Counts a step to get a version that a peer has reported and that is newer than the current
   /// one.
@@ -63,6 +65,7 @@
   prometheus::Family<prometheus::Counter>* departed_callers_;
   prometheus::Family<prometheus::Counter>* cancellations_;
   prometheus::Family<prometheus::Counter>* work_of_lost_links_;
+  prometheus::Family<prometheus::Counter>* target_crashes_;
   prometheus::Family<prometheus::Counter>* configuration_offers_;
   prometheus::Family<prometheus::Counter>* catch_ups_;
   prometheus::Histogram* configuration_lag_;
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "daemon/request_identity.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -13,6 +15,8 @@
 /// this much later.
 constexpr duration response_grace_time = std::chrono::milliseconds(30);
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
+/// The target is on the same machine, so a process that listens accepts a connection at once.
+constexpr duration connection_probe_timeout = std::chrono::milliseconds(100);
 /// Slots assumed for a target that was found by a probe, until its first heartbeat states them.
 constexpr std::int32_t discovered_slots = 4;
 constexpr std::size_t connection_limit = 64;
@@ -66,7 +70,15 @@
              [this](const inbound_request_pointer& request) { run(request); },
              [this](std::uint64_t ticket) { cancel_exchange(ticket); }, callbacks_.send_response}),
       target_(shared.loop, shared.options.target.endpoint, target_client_options()),
-      prober_(shared.loop, shared.options.target.endpoint, {}) {
+      prober_(shared.loop, shared.options.target.endpoint, {}),
+      crash_watch_(shared.loop,
+                   {[this](std::function<void(probe_result)> done) {
+                      return probe_connection(shared_.loop, shared_.options.target.endpoint,
+                                              connection_probe_timeout, std::move(done));
+                    },
+                    [this](const std::vector<lost_exchange>& in_flight, crash_evidence evidence) {
+                      target_ended(in_flight, evidence);
+                    }}) {
   silence_timer_ = shared_.loop.every(silence_check_interval, [this] { check_target_silence(); });
 }
 
@@ -152,6 +164,9 @@
   response.ran_us = (now - *request->started_at).count();
   if (result.outcome == http_outcome::answered) {
     last_seen_at_ = now;
+    if (!result.new_connection) {
+      crash_watch_.connection_survived();
+    }
   }
   if (proof.deliverable) {
     const http_headers headers = end_to_end_headers(result.response.headers);
@@ -170,6 +185,10 @@
          {"ran_ms", to_ms(now - *request->started_at)}});
   }
   forget_lost_target(end);
+  if (end == target_exchange::connection_lost && registry_.takes_requests()) {
+    const digest identity = repeated_request_digest(request->call);
+    crash_watch_.exchange_lost({identity, {identity, 0, 0}, now}, [] {});
+  }
   work_.finish(request, std::move(response), end != target_exchange::success);
 }
 
@@ -182,8 +201,28 @@
   }
 }
 
+void inbound_gateway::target_ended(const std::vector<lost_exchange>& in_flight,
+                                   crash_evidence evidence) {
+  std::vector<std::string> requests;
+  for (const lost_exchange& lost : in_flight) {
+    requests.push_back(lost.request.str());
+  }
+  const auto& target = registry_.target();
+  shared_.counters.count_target_crash(std::string(to_string(evidence)));
+  shared_.log.warning("target_crashed",
+                      {{"target", target.has_value() ? target->announcement.id : std::string()},
+                       {"evidence", std::string(to_string(evidence))},
+                       {"in_flight", in_flight.size()},
+                       {"requests", requests}});
+}
+
 announcement_result inbound_gateway::announce(const target_announcement& announcement) {
+  const std::optional<registered_target> before = registry_.target();
   const announcement_result result = registry_.announce(announcement, shared_.loop.now());
+  if (result == announcement_result::accepted && before.has_value() && !before->leaving &&
+      announcement.born_ms > before->announcement.born_ms) {
+    crash_watch_.later_start();
+  }
   if (result != announcement_result::outdated) {
     last_seen_at_ = shared_.loop.now();
   }
@@ -219,6 +258,9 @@
 
 void inbound_gateway::target_changed() {
   report_departure();
+  if (registry_.target().has_value() && registry_.target()->leaving) {
+    crash_watch_.target_leaving();
+  }
   const bool available = registry_.takes_requests();
   if (available) {
     work_.set_slots(registry_.target()->announcement.slots);
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -10,6 +10,7 @@
 #include "mesh/target_registry.h"
 #include "sidecar/inbound_work.h"
 #include "sidecar/sidecar_context.h"
+#include "sidecar/target_crash_watch.h"
 #include "transport/http_client.h"
 
 namespace crocusdoor {
@@ -54,6 +55,7 @@
   [[nodiscard]] target_exchange classify(const http_result& result) const;
   void exchange_ended(const inbound_request_pointer& request, const http_result& result);
   void forget_lost_target(target_exchange end);
+  void target_ended(const std::vector<lost_exchange>& in_flight, crash_evidence evidence);
   void target_changed();
   void report_departure();
   void check_target_silence();
@@ -64,6 +66,7 @@
   inbound_work work_;
   http_client target_;
   http_client prober_;
+  target_crash_watch crash_watch_;
   std::map<std::uint64_t, http_call> exchanges_;  ///< Exchanges with the target, by ticket.
   bool takes_requests_ = false;
   std::optional<target_departure> reported_departure_;
--- /dev/null
+++ b/Source/suspicion/crash_counts.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/digest.h"
+#include "core/record_codec.h"
+#include "core/time.h"
+
+namespace crocusdoor {
+
+/// How often a request has crashed its targets, one after the other, since it last completed.
+struct crash_count {
+  digest request;               ///< Digest of what stays the same when a caller repeats it.
+  std::uint64_t clearings = 0;  ///< Completed runs that have reset `crashes` to 0.
+  std::int32_t crashes = 0;     ///< Crashes of which each run began after the one before was known.
+  friend bool operator==(const crash_count&, const crash_count&) = default;
+};
+
+template <>
+struct record_fields<crash_count> {
+  static constexpr auto table =
+      std::make_tuple(required_field("request", &crash_count::request),
+                      required_field("clearings", &crash_count::clearings),
+                      required_field("crashes", &crash_count::crashes, {0, 1'000'000}));
+};
+
+/// Limits on the age and number of crash counts.
+struct crash_count_limits {
+  /// A count that has not changed for this long is removed.
+  duration age = std::chrono::minutes(10);
+  /// Maximum number of requests; those that have not changed for the longest are removed first.
+  std::size_t requests = 2'000;
+};
+
+/// The crash counts of requests, merged from all daemons. The result does not depend on the order
+/// of the reports or on repeats, and no clock is compared with that of another daemon.
+///
+/// Requests that run beside the one that crashes a target are counted with it. What tells them
+/// apart is that they complete: each completed run, on any target, resets the count. Crashes of
+/// several targets at the same moment count once, because a request that is in flight at all of
+/// them began before any of the crashes was known.
+class crash_counts {
+ public:
+  explicit crash_counts(crash_count_limits limits = {}) : limits_(limits) {}
+
+  /// A target crashed while it ran a request that began when its count was `known`. Returns the
+  /// count to send to the peers if it has changed.
+  std::optional<crash_count> crashed(const digest& request, const crash_count& known,
+                                     time_point now);
+  /// A request completed on a target. Returns the count to send to the peers if it has changed.
+  std::optional<crash_count> completed(const digest& request, time_point now);
+  /// Merges the count of a peer. Returns whether it was newer.
+  bool merge(const crash_count& received, time_point now);
+  /// An operator resets the count. Returns the count to send to the peers if it has changed.
+  std::optional<crash_count> clear(const digest& request, time_point now) {
+    return completed(request, now);
+  }
+
+  /// The count of a request; 0 crashes if none is known.
+  [[nodiscard]] crash_count count(const digest& request) const;
+  /// How long a request is not to be sent to any target; zero if it may be sent.
+  [[nodiscard]] duration refusal_left(const digest& request, time_point now) const;
+
+  /// Removes counts past the age limit. Call about once a second.
+  void expire(time_point now);
+  /// All counts, to be sent to a daemon that has just been linked.
+  [[nodiscard]] std::vector<crash_count> all() const;
+  [[nodiscard]] bool empty() const noexcept { return entries_.empty(); }
+  /// Number of requests that are not sent to any target.
+  [[nodiscard]] std::size_t refused(time_point now) const;
+
+ private:
+  struct entry {
+    crash_count count;
+    time_point changed_at;
+  };
+
+  void remove_oldest();
+
+  crash_count_limits limits_;
+  std::map<digest, entry> entries_;
+};
+
+}  // namespace crocusdoor
--- /dev/null
+++ b/Tests/suspicion/crash_counts_test.cpp
@@ -0,0 +1,102 @@
+#include "suspicion/crash_counts.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "core/random_source.h"
+
+namespace crocusdoor {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+const digest poison = digest_of("poison");
+const digest popular = digest_of("popular");
+
+}  // namespace
+
+TEST_CASE("a request is refused after the second crash in a row", "[F6]") {
+  crash_counts counts;
+  CHECK(counts.refusal_left(poison, start) == duration::zero());
+  REQUIRE(counts.crashed(poison, counts.count(poison), start).has_value());
+  CHECK(counts.refusal_left(poison, start) == duration::zero());
+  REQUIRE(counts.crashed(poison, counts.count(poison), start + 1s).has_value());
+  CHECK(counts.refusal_left(poison, start + 1s) == 10min);
+  CHECK(counts.refused(start + 1s) == 1);
+
+  SECTION("until it has not been seen to crash a target for the age limit") {
+    CHECK(counts.refusal_left(poison, start + 10min) == 1s);
+    counts.expire(start + 10min);
+    CHECK_FALSE(counts.empty());
+    counts.expire(start + 10min + 1s);
+    CHECK(counts.empty());
+    CHECK(counts.refusal_left(poison, start + 11min) == duration::zero());
+  }
+  SECTION("or until an operator clears it") {
+    REQUIRE(counts.clear(poison, start + 2s).has_value());
+    CHECK(counts.refusal_left(poison, start + 2s) == duration::zero());
+    CHECK_FALSE(counts.clear(poison, start + 2s).has_value());
+  }
+}
+
+TEST_CASE("a popular request that is in flight when targets crash is not refused", "[F6]") {
+  crash_counts counts;
+
+  SECTION("if several targets crash at the same moment, which counts once") {
+    const crash_count known = counts.count(popular);
+    CHECK(counts.crashed(popular, known, start).has_value());
+    CHECK_FALSE(counts.crashed(popular, known, start).has_value());
+    CHECK_FALSE(counts.crashed(popular, known, start + 1s).has_value());
+    CHECK(counts.refusal_left(popular, start + 1s) == duration::zero());
+  }
+  SECTION("if it completes on any target between two crashes") {
+    counts.crashed(popular, counts.count(popular), start);
+    CHECK(counts.completed(popular, start + 100ms).has_value());
+    counts.crashed(popular, counts.count(popular), start + 1s);
+    CHECK(counts.refusal_left(popular, start + 1s) == duration::zero());
+  }
+  SECTION("if a run that began before it was refused completes") {
+    counts.crashed(popular, counts.count(popular), start);
+    counts.crashed(popular, counts.count(popular), start + 1s);
+    CHECK(counts.completed(popular, start + 2s).has_value());
+    CHECK(counts.refusal_left(popular, start + 2s) == duration::zero());
+    CHECK_FALSE(counts.completed(popular, start + 2s).has_value());
+  }
+}
+
+TEST_CASE("daemons that receive the same crash counts in any order agree", "[F6]") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    random_source random(seed);
+    std::vector<crash_count> reports;
+    for (int index = 0; index < 20; ++index) {
+      const std::uint64_t clearings = random.index(4);
+      reports.push_back({poison, clearings, static_cast<std::int32_t>(random.index(4))});
+    }
+    crash_counts first;
+    crash_counts second;
+    for (const crash_count& report : reports) {
+      first.merge(report, start);
+    }
+    std::reverse(reports.begin(), reports.end());
+    for (const crash_count& report : reports) {
+      second.merge(report, start);
+      second.merge(report, start);
+    }
+    CHECK(first.all() == second.all());
+  }
+}
+
+TEST_CASE("the number of crash counts is limited, and the oldest are removed first", "[F12]") {
+  crash_counts counts({.requests = 2});
+  counts.merge({digest_of("first"), 0, 2}, start);
+  counts.merge({digest_of("second"), 0, 2}, start + 1s);
+  counts.merge({digest_of("third"), 0, 2}, start + 2s);
+  CHECK(counts.all().size() == 2);
+  CHECK(counts.count(digest_of("first")).crashes == 0);
+  CHECK_FALSE(counts.merge({digest(), 0, 5}, start));
+}
+
+}  // namespace crocusdoor
