--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -100,16 +100,7 @@
   on_request = [this](const std::shared_ptr<http_exchange>& exchange) {
     respond(*exchange, 200, "answer of " + name);
   };
-  target = std::make_unique<http_server>(loop, local(0),
-                                         [this](const std::shared_ptr<http_exchange>& exchange) {
-                                           // A health check is not a request of a caller.
-                                           if (exchange->request().target == "/health") {
-                                             exchange->respond({503, {}, ""});
-                                             return;
-                                           }
-                                           received.push_back(exchange->request());
-                                           on_request(exchange);
-                                         });
+  listen_as_target(0);
   sidecar_settings& options = options_;
   options.instance = {instance_name(name), failure_domain("a"), region_name("r")};
   options.listen = {local(next_port()), local(next_port()), local(next_port()), local(next_port()),
@@ -126,6 +117,29 @@
   readiness = std::make_unique<http_client>(loop, options.listen.readiness, http_client_options{});
 }
 
+void test_instance::listen_as_target(std::uint16_t port) {
+  target = std::make_unique<http_server>(loop_, local(port),
+                                         [this](const std::shared_ptr<http_exchange>& exchange) {
+                                           // A health check is not a request of a caller.
+                                           if (exchange->request().target == "/health") {
+                                             exchange->respond({503, {}, ""});
+                                             return;
+                                           }
+                                           received.push_back(exchange->request());
+                                           on_request(exchange);
+                                         });
+}
+
+void test_instance::crash_target() {
+  target = nullptr;
+}
+
+void test_instance::restart_target() {
+  listen_as_target(options_.target.endpoint.port);
+  ++born_ms_;
+  sequence_ = 0;
+}
+
 void test_instance::respond(http_exchange& exchange, int status, const std::string& body) const {
   exchange.respond({status,
                     {{"X-Attempt-Id", header_value(exchange.request().headers, "X-Attempt-Id")},
@@ -152,7 +166,7 @@
                           {"state", state},
                           {"warmupLeftMs", 0},
                           {"sequence", sequence},
-                          {"born", 1'700'000'000'000U}};
+                          {"born", born_ms_}};
   bool accepted = false;
   registration->send({"PUT", "/instances/i-" + name, {}, heartbeat.dump()}, test_limit,
                      [&](const http_result& result) {
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -64,6 +64,10 @@
   void announce_with_sequence(const std::string& state, std::uint64_t sequence);
   /// Replaces the daemon by a newly constructed one, as after a crash.
   void restart_daemon();
+  /// Ends the target with all its connections and refuses new ones.
+  void crash_target();
+  /// Starts the target again at the same address after a crash. Its heartbeats state a later start.
+  void restart_target();
   [[nodiscard]] std::uint16_t callers_port() const { return options_.listen.callers.port; }
 
   std::string name;
@@ -77,10 +81,13 @@
   std::unique_ptr<http_client> readiness;
 
  private:
+  void listen_as_target(std::uint16_t port);
+
   event_loop& loop_;
   store_contents& contents_;
   sidecar_settings options_;
   std::uint64_t sequence_ = 0;
+  std::uint64_t born_ms_ = 1'700'000'000'000U;  ///< Start of the target, in its heartbeats.
 };
 
 /// Several instances on one event loop, with a configuration in their store.
