Refuse requests that have crashed two targets in a row

Cause: each repeat has a new attempt id and was a new request to its sidecar. The end of a target reached the sidecar as a lost connection, which was forgotten with the request; Source/suspicion, made for this (F6), was connected to crocusdoord only.

Evidence: target_crashed named the same digest in 87 of 87 ends, at three sidecars, on each kind of route.

Change: a proved end of a target adds one to the crash count of each request in flight, on top of the count known when its run began; a completed run on any target resets it. Counts go to all peers before the response to the lost exchange does, to peers that are newly linked, and ahead of a marked request to its target. From two crashes on a request is refused as not run, with the time that is left as Retry-After, at the sidecar of its caller and at that of the target, on arrival and before its start. A target whose address refuses connections gets no requests until its next heartbeat.

Why it works: the count is with the sender of a request before it can try another target, so a request ends two targets, and then none.

A popular request that is in flight at four crashes in a row is served each time.

The test now lets whichever target gets the request crash.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -65,8 +65,7 @@
     : shared_(shared),
       callbacks_(std::move(callbacks)),
       work_({shared.loop, shared.log, shared.counters, shared.contract.headers.attempt_id},
-            {[this](const service_name& service) { return reason_to_refuse(service); },
-             callbacks_.read_from_sender,
+            {[this](const wire::call& call) { return check(call); }, callbacks_.read_from_sender,
              [this](const inbound_request_pointer& request) { run(request); },
              [this](std::uint64_t ticket) { cancel_exchange(ticket); }, callbacks_.send_response}),
       target_(shared.loop, shared.options.target.endpoint, target_client_options()),
@@ -82,12 +81,22 @@
   silence_timer_ = shared_.loop.every(silence_check_interval, [this] { check_target_silence(); });
 }
 
-std::string inbound_gateway::reason_to_refuse(const service_name& service) const {
+inbound_refusal inbound_gateway::check(const wire::call& call) const {
   const auto& target = registry_.target();
-  if (registry_.takes_requests() && target->announcement.service == service) {
-    return "";
+  if (!registry_.takes_requests() || target->announcement.service != call.service) {
+    return {target.has_value() ? "target_leaving" : "no_target"};
   }
-  return target.has_value() ? "target_leaving" : "no_target";
+  if (shared_.crashes.empty()) {
+    return {};
+  }
+  const duration left =
+      shared_.crashes.refusal_left(repeated_request_digest(call), shared_.loop.now());
+  return left > duration::zero() ? inbound_refusal{crash_refusal_reason, left} : inbound_refusal{};
+}
+
+crash_count inbound_gateway::known_crashes(const wire::call& call) const {
+  return shared_.crashes.empty() ? crash_count{}
+                                 : shared_.crashes.count(repeated_request_digest(call));
 }
 
 http_request inbound_gateway::outgoing_request(const inbound_request& request) const {
@@ -111,15 +120,16 @@
     return match_target_response(header_value(response.headers, name), id, is_success(response),
                                  new_connection);
   };
-  exchanges_[request->ticket] = target_.send(
+  const http_call call = target_.send(
       outgoing_request(*request), request->deadline - shared_.loop.now() + response_grace_time,
       [this, request](const http_result& result) { exchange_ended(request, result); }, filter);
+  exchanges_[request->ticket] = {call, known_crashes(request->call)};
 }
 
 void inbound_gateway::cancel_exchange(std::uint64_t ticket) {
   const auto found = exchanges_.find(ticket);
   if (found != exchanges_.end()) {
-    target_.cancel(found->second);
+    target_.cancel(found->second.call);
     exchanges_.erase(found);
   }
 }
@@ -154,6 +164,7 @@
 
 void inbound_gateway::exchange_ended(const inbound_request_pointer& request,
                                      const http_result& result) {
+  const crash_count known = std::exchange(exchanges_[request->ticket], {}).known;
   exchanges_.erase(request->ticket);
   const target_exchange end = classify(result);
   const exchange_proof proof = proof_of(end);
@@ -169,6 +180,9 @@
     }
   }
   if (proof.deliverable) {
+    if (result.response.headers.contains(shared_.contract.headers.seal)) {
+      request_completed(request->call);
+    }
     const http_headers headers = end_to_end_headers(result.response.headers);
     response.status = result.response.status;
     response.headers = {headers.begin(), headers.end()};
@@ -186,8 +200,11 @@
   }
   forget_lost_target(end);
   if (end == target_exchange::connection_lost && registry_.takes_requests()) {
-    const digest identity = repeated_request_digest(request->call);
-    crash_watch_.exchange_lost({identity, {identity, 0, 0}, now}, [] {});
+    // A crash must be known to the peers before the sender of the request tries another target.
+    crash_watch_.exchange_lost(
+        {repeated_request_digest(request->call), known, now},
+        [this, request, response] { work_.finish(request, response, true); });
+    return;
   }
   work_.finish(request, std::move(response), end != target_exchange::success);
 }
@@ -204,8 +221,13 @@
 void inbound_gateway::target_ended(const std::vector<lost_exchange>& in_flight,
                                    crash_evidence evidence) {
   std::vector<std::string> requests;
+  std::vector<crash_count> changed;
   for (const lost_exchange& lost : in_flight) {
     requests.push_back(lost.request.str());
+    const auto count = shared_.crashes.crashed(lost.request, lost.known, shared_.loop.now());
+    if (count.has_value()) {
+      changed.push_back(*count);
+    }
   }
   const auto& target = registry_.target();
   shared_.counters.count_target_crash(std::string(to_string(evidence)));
@@ -213,7 +235,25 @@
                       {{"target", target.has_value() ? target->announcement.id : std::string()},
                        {"evidence", std::string(to_string(evidence))},
                        {"in_flight", in_flight.size()},
-                       {"requests", requests}});
+                       {"requests", requests},
+                       {"refused", shared_.crashes.refused(shared_.loop.now())}});
+  callbacks_.crash_counts_changed(changed);
+  if (evidence == crash_evidence::connection_refused && target.has_value()) {
+    registry_.forget(target->announcement.id);
+    target_changed();
+  }
+}
+
+void inbound_gateway::request_completed(const wire::call& call) {
+  if (shared_.crashes.empty()) {
+    return;
+  }
+  const auto count = shared_.crashes.completed(repeated_request_digest(call), shared_.loop.now());
+  if (count.has_value()) {
+    shared_.log.info("crash_count_reset",
+                     {{"request", count->request.str()}, {"clearings", count->clearings}});
+    callbacks_.crash_counts_changed({*count});
+  }
 }
 
 announcement_result inbound_gateway::announce(const target_announcement& announcement) {
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -28,6 +28,8 @@
     /// The target has announced its departure.
     std::function<void(const target_departure&)> target_departed;
     std::function<route_table_pointer()> configuration;
+    /// The crash counts of requests have changed here and must be sent to the peers.
+    std::function<void(const std::vector<crash_count>&)> crash_counts_changed;
   };
 
   inbound_gateway(const sidecar_context& shared, handlers callbacks);
@@ -48,13 +50,22 @@
   [[nodiscard]] std::uint64_t connections_opened() const { return target_.connections_opened(); }
 
  private:
-  [[nodiscard]] std::string reason_to_refuse(const service_name& service) const;
+  /// A request that runs on the target.
+  struct running_exchange {
+    http_call call;
+    crash_count known;  ///< Count of the request when it began to run.
+  };
+
+  [[nodiscard]] inbound_refusal check(const wire::call& call) const;
+  [[nodiscard]] crash_count known_crashes(const wire::call& call) const;
   void run(const inbound_request_pointer& request);
   void cancel_exchange(std::uint64_t ticket);
   [[nodiscard]] http_request outgoing_request(const inbound_request& request) const;
   [[nodiscard]] target_exchange classify(const http_result& result) const;
   void exchange_ended(const inbound_request_pointer& request, const http_result& result);
   void forget_lost_target(target_exchange end);
+  /// Resets the crash count of a request that the target has run to its end.
+  void request_completed(const wire::call& call);
   void target_ended(const std::vector<lost_exchange>& in_flight, crash_evidence evidence);
   void target_changed();
   void report_departure();
@@ -67,7 +78,7 @@
   http_client target_;
   http_client prober_;
   target_crash_watch crash_watch_;
-  std::map<std::uint64_t, http_call> exchanges_;  ///< Exchanges with the target, by ticket.
+  std::map<std::uint64_t, running_exchange> exchanges_;  ///< Exchanges with the target, by ticket.
   bool takes_requests_ = false;
   std::optional<target_departure> reported_departure_;
   time_point last_seen_at_{};  ///< Last heartbeat or response of the target.
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -13,7 +13,6 @@
 /// A request with less time than this until its deadline is refused instead of being sent to the
 /// target, which could not complete it.
 constexpr duration minimum_time_left = std::chrono::milliseconds(3);
-constexpr duration leaving_retry_after = std::chrono::milliseconds(100);
 constexpr double percent_of_one = 100;
 /// Shorter transit times do not count as a delay and are not recorded in the metrics.
 constexpr duration minimum_counted_transit = std::chrono::milliseconds(5);
@@ -42,14 +41,14 @@
   request->call = call;
   request->deadline = now + call.deadline_left_ms - call.transit;
   request->ticket = next_ticket_++;
-  std::string reason = callbacks_.reason_to_refuse(call.service);
+  inbound_refusal refusal = callbacks_.check(call);
   if (received == receive_result::refused) {
-    reason = "request_id_refused";
+    refusal = {"request_id_refused"};
   } else if (ends_at_.has_value() && request->deadline > *ends_at_) {
-    reason = "stopping";
+    refusal = {"stopping"};
   }
-  if (!reason.empty()) {
-    refuse(request, reason, leaving_retry_after);
+  if (!refusal.reason.empty()) {
+    refuse(request, refusal);
     return;
   }
   if (call.transit >= minimum_counted_transit) {
@@ -72,8 +71,8 @@
   for (const refused_slot& refused : changes.refused) {
     const auto found = requests_.find(refused.ticket);
     if (found != requests_.end()) {
-      refuse(request_pointer(found->second), std::string(to_string(refused.reason)),
-             refused.retry_after);
+      refuse(request_pointer(found->second),
+             {std::string(to_string(refused.reason)), refused.retry_after});
     }
   }
   admitted_.insert(admitted_.end(), changes.started.begin(), changes.started.end());
@@ -107,14 +106,14 @@
 
 void inbound_work::start(const request_pointer& request, bool link_open) {
   const time_point now = shared_.timers.now();
-  std::string reason = callbacks_.reason_to_refuse(request->call.service);
+  inbound_refusal refusal = callbacks_.check(request->call);
   if (!link_open) {
-    reason = link_lost_reason;
+    refusal = {link_lost_reason};
   } else if (request->deadline - now < minimum_time_left) {
-    reason = "deadline_unreachable";
+    refusal = {"deadline_unreachable"};
   }
-  if (!reason.empty()) {
-    drop(request, reason, leaving_retry_after);
+  if (!refusal.reason.empty()) {
+    drop(request, refusal);
     return;
   }
   request->started_at = now;
@@ -122,10 +121,9 @@
   callbacks_.start(request);
 }
 
-void inbound_work::drop(const request_pointer& request, const std::string& reason,
-                        duration retry_after) {
+void inbound_work::drop(const request_pointer& request, const inbound_refusal& refusal) {
   const bool waited = queue_.withdraw(request->ticket);
-  refuse(request, reason, retry_after);
+  refuse(request, refusal);
   if (!waited) {
     apply(queue_.release(request->ticket, shared_.timers.now()));
   }
@@ -143,20 +141,19 @@
   apply(changes);
 }
 
-void inbound_work::refuse(const request_pointer& request, const std::string& reason,
-                          duration retry_after) {
+void inbound_work::refuse(const request_pointer& request, const inbound_refusal& refusal) {
   shared_.log.request(log_level::info, "refused_at_target",
                       {{"request", attempt_id_of(*request)},
                        {"from", request->from.str()},
-                       {"reason", reason},
+                       {"reason", refusal.reason},
                        {"slots_in_use", queue_.slots_in_use()},
                        {"queued", queue_.queued()}});
-  shared_.counters.count_refusal(reason);
+  shared_.counters.count_refusal(refusal.reason);
   wire::call_answer response;
   response.outcome = verdict::not_run;
-  response.reason = reason;
+  response.reason = refusal.reason;
   response.reached_target = false;
-  response.retry_after_ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after);
+  response.retry_after_ms = std::chrono::ceil<std::chrono::milliseconds>(refusal.retry_after);
   respond(*request, std::move(response));
 }
 
@@ -201,7 +198,7 @@
 
 void inbound_work::abandon(const request_pointer& request, const std::string& reason) {
   if (!request->started_at.has_value()) {
-    drop(request, reason, duration::zero());
+    drop(request, {reason, duration::zero()});
     return;
   }
   if (!request->call.idempotent) {
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -27,6 +27,15 @@
   std::optional<time_point> started_at;  ///< When it was sent to the target.
 };
 
+/// Delay before a caller may try again at another target.
+inline constexpr duration default_refusal_retry_after = std::chrono::milliseconds(100);
+
+/// Why a request is not run; an empty reason if it may run.
+struct inbound_refusal {
+  std::string reason;
+  duration retry_after = default_refusal_retry_after;
+};
+
 using inbound_request_pointer = std::shared_ptr<const inbound_request>;
 
 /// The calls that wait for the target beside this daemon or run there. Each gets exactly one
@@ -46,8 +55,8 @@
   };
 
   struct handlers {
-    /// The reason why the target cannot accept a request for a service now; empty if it can.
-    std::function<std::string(const service_name&)> reason_to_refuse;
+    /// Whether the target can accept a request now.
+    std::function<inbound_refusal(const wire::call&)> check;
     /// Reads and handles all messages that the sender of a request has already sent. Returns
     /// whether the link over which the request arrived is still open.
     std::function<bool(const inbound_request&)> read_from_sender;
@@ -101,8 +110,8 @@
   /// idempotent continues, because completing it is more important than freeing its slot.
   void abandon(const request_pointer& request, const std::string& reason);
   /// Refuses a request that has not been sent to the target, and frees its queue entry or slot.
-  void drop(const request_pointer& request, const std::string& reason, duration retry_after);
-  void refuse(const request_pointer& request, const std::string& reason, duration retry_after);
+  void drop(const request_pointer& request, const inbound_refusal& refusal);
+  void refuse(const request_pointer& request, const inbound_refusal& refusal);
   void respond(const inbound_request& request, wire::call_answer response);
 
   context shared_;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "daemon/request_identity.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -122,7 +124,7 @@
 }
 
 void outbound_request::send_attempt() {
-  if (!exchange_->check_connection()) {
+  if (!exchange_->check_connection() || refuse_crashing()) {
     return;
   }
   const time_point now = shared_.loop.now();
@@ -144,6 +146,9 @@
   const std::size_t index = attempts_.size();
   attempts_.push_back({0, instance, now});
   services_.upstreams.attempt_started(instance);
+  if (crashes_.crashes > 0) {
+    services_.send_crash_count(instance, crashes_);
+  }
   attempts_[index].id =
       services_.router.send(instance, call_, deadline_ + response_grace_time,
                             [self = shared_from_this(), index](const call_outcome& outcome) {
@@ -151,17 +156,37 @@
                             });
 }
 
-/// Ends the request because no upstream is left that could respond in time.
-void outbound_request::finish_without_upstream(const placement& choice) {
+bool outbound_request::refuse_crashing() {
+  if (shared_.crashes.empty()) {
+    return false;
+  }
+  crashes_ = shared_.crashes.count(repeated_request_digest(call_));
+  const duration left = shared_.crashes.refusal_left(crashes_.request, shared_.loop.now());
+  if (left > duration::zero()) {
+    give_up(crash_refusal_reason, left);
+  }
+  return left > duration::zero();
+}
+
+void outbound_request::give_up(const std::string& reason, duration retry_after) {
   if (failure_response_.has_value()) {
     deliver(*failure_response_);
-  } else if (outcome_so_far_ != verdict::not_run) {
-    fail(status_bad_gateway, "outcome_unknown");
+  } else if (outcome_so_far_ == verdict::not_run) {
+    refuse(reason, retry_after);
+  } else {
+    fail(status_bad_gateway, reason);
+  }
+}
+
+/// Ends the request because no upstream is left that could respond in time.
+void outbound_request::finish_without_upstream(const placement& choice) {
+  if (outcome_so_far_ != verdict::not_run) {
+    give_up("outcome_unknown", default_retry_after);
   } else if (choice.overloaded) {
-    refuse("service_overloaded", std::max(retry_after_, choice.retry_after));
+    give_up("service_overloaded", std::max(retry_after_, choice.retry_after));
   } else {
-    refuse(tried_.empty() ? "no_upstream" : "all_upstreams_refused",
-           std::max(retry_after_, default_retry_after));
+    give_up(tried_.empty() ? "no_upstream" : "all_upstreams_refused",
+            std::max(retry_after_, default_retry_after));
   }
 }
 
@@ -235,6 +260,9 @@
   if (!proved_not_run && !route_.idempotent) {
     return false;
   }
+  if (outcome.response.has_value() && outcome.response->reason == crash_refusal_reason) {
+    return false;  // Every other upstream would refuse it as well.
+  }
   if (deadline_ - now < minimum_time_for_retry || tried_.size() >= tried_upstreams_limit) {
     return false;
   }
@@ -252,15 +280,9 @@
   if (may_retry(outcome)) {
     shared_.counters.count_retry();
     send_attempt();
-  } else if (failure_response_.has_value()) {
-    deliver(*failure_response_);
-  } else if (outcome_so_far_ == verdict::not_run) {
-    const std::string reason =
-        outcome.response.has_value() ? outcome.response->reason : outcome.reason;
-    refuse(reason, std::max(retry_after_, default_retry_after));
   } else {
-    fail(status_bad_gateway,
-         outcome.response.has_value() ? outcome.response->reason : outcome.reason);
+    give_up(outcome.response.has_value() ? outcome.response->reason : outcome.reason,
+            std::max(retry_after_, default_retry_after));
   }
 }
 
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -30,7 +30,11 @@
   void prepare_call();
   void set_deadline();
   void send_attempt();
+  /// Ends the request if it has crashed the targets that have run it; returns whether it has ended.
+  bool refuse_crashing();
   void finish_without_upstream(const placement& choice);
+  /// Ends the request without a further attempt.
+  void give_up(const std::string& reason, duration retry_after);
   void attempt_ended(std::size_t index, const call_outcome& outcome);
   void record_quality(const attempt& ended, const call_outcome& outcome);
   [[nodiscard]] bool is_retryable_failure(const call_outcome& outcome) const;
@@ -57,6 +61,7 @@
   mesh_route route_;
   service_name service_;
   wire::call call_;
+  crash_count crashes_;  ///< Count of the request before the latest attempt.
   std::vector<attempt> attempts_;
   std::vector<instance_name> tried_;  ///< Upstreams of the attempts, in their order.
   int arrivals_ = 0;                  ///< Attempts that may have reached a target.
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -25,6 +25,8 @@
   std::function<std::optional<time_point>()> end_of_process;
   /// Daemons that share the retry budget.
   std::function<std::size_t()> daemon_count;
+  /// Sends the crash count of a request to an instance, ahead of the request itself.
+  std::function<void(const instance_name&, const crash_count&)> send_crash_count;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_context.h
+++ b/Source/sidecar/sidecar_context.h
@@ -7,6 +7,7 @@
 #include "sidecar/decision_log.h"
 #include "sidecar/platform_contract.h"
 #include "sidecar/sidecar_settings.h"
+#include "suspicion/crash_counts.h"
 #include "transport/event_loop.h"
 
 namespace crocusdoor {
@@ -19,6 +20,7 @@
   const platform_contract& contract;
   /// Limit on the retries of all daemons together; each daemon applies its share.
   const retry_limit& retries;
+  crash_counts& crashes;
   decision_log& log;
   metrics& counters;
   /// Name and incarnation of this process.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -26,6 +26,8 @@
 /// link to it only after this delay, in case the other daemon cannot.
 constexpr duration passive_dial_delay = std::chrono::milliseconds(600);
 
+constexpr duration crash_count_interval = std::chrono::seconds(1);
+
 constexpr duration loop_delay_interval = std::chrono::milliseconds(100);
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
@@ -56,8 +58,9 @@
       store_(std::move(store)),
       random_(stable_hash(options_.instance.name.str(), start_incarnation())),
       log_(loop_, options_.instance.name.str(), options_.log, STDOUT_FILENO),
-      shared_{loop_,        random_, options_,  contract_,
-              retry_limit_, log_,    counters_, {options_.instance.name, start_incarnation()}},
+      shared_{loop_,     random_,      options_,
+              contract_, retry_limit_, crashes_,
+              log_,      counters_,    {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   finder_ = std::make_unique<peer_finder>(shared_, *store_, *mesh_);
@@ -88,7 +91,10 @@
                      departure_received({shared_.self.name, departure.id, departure.born_ms});
                      mesh_->send_to_all(departures_.at(shared_.self.name));
                    },
-                   [this] { return configurations_->current(); }});
+                   [this] { return configurations_->current(); },
+                   [this](const std::vector<crash_count>& counts) {
+                     mesh_->send_to_all(wire::suspicions{{}, counts});
+                   }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
       call_router::handlers{[this](const wire::call& request) {
@@ -105,7 +111,12 @@
   services_ = std::make_unique<outbound_services>(outbound_services{
       shared_, *router_, upstreams_, rotation_, retries_,
       [this] { return configurations_->current(); }, [this] { return end_of_process(); },
-      [this] { return finder_->daemon_count(); }});
+      [this] { return finder_->daemon_count(); },
+      [this](const instance_name& to, const crash_count& count) {
+        if (to != shared_.self.name) {
+          mesh_->send(to, wire::suspicions{{}, {count}});
+        }
+      }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
@@ -179,6 +190,9 @@
         mesh_->send(peer, departure->second);
       }
     }
+    if (!crashes_.empty()) {
+      mesh_->send(peer, wire::suspicions{{}, crashes_.all()});
+    }
     router_->peer_established(peer);
   };
   callbacks.peer_lost = [this](const instance_name& peer, const std::string& reason) {
@@ -216,6 +230,9 @@
   });
   dispatcher.on<wire::target_departed>(
       [this](const instance_name&, const auto& content) { departure_received(content); });
+  dispatcher.on<wire::suspicions>([this](const instance_name& from, const auto& content) {
+    crash_counts_received(from, content.counts);
+  });
   dispatcher.on<wire::heartbeat>([this](const instance_name& from, const auto& heartbeat) {
     if (heartbeat.load.has_value()) {
       upstreams_.load_reported(from, *heartbeat.load, loop_.now());
@@ -232,6 +249,7 @@
                         {"peers", to_string(options_.listen.peers)}});
   configurations_->start();
   finder_->start();
+  crash_count_timer_ = loop_.every(crash_count_interval, [this] { crashes_.expire(loop_.now()); });
   measure_loop_delay();
 }
 
@@ -293,6 +311,20 @@
   }
 }
 
+void sidecar_daemon::crash_counts_received(const instance_name& from,
+                                           const std::vector<crash_count>& counts) {
+  for (const crash_count& count : counts) {
+    if (crashes_.merge(count, loop_.now())) {
+      log_.info("crash_count_received",
+                {{"peer", from.str()},
+                 {"request", count.request.str()},
+                 {"crashes", count.crashes},
+                 {"clearings", count.clearings},
+                 {"refused_ms", to_ms(crashes_.refusal_left(count.request, loop_.now()))}});
+    }
+  }
+}
+
 void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
   log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
@@ -346,6 +378,9 @@
   counters_.slots_in_use().Set(load.slots_in_use);
   counters_.queue_length().Set(load.queued);
   counters_.live_instances().Set(static_cast<double>(mesh_->linked_peers().size() + 1));
+  counters_
+      .total("crocusdoor_crashing_requests", "Requests refused because they have crashed targets")
+      .Set(static_cast<double>(crashes_.refused(loop_.now())));
   counters_.total("crocusdoor_log_lines_dropped", "Log lines beyond the budget")
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -59,6 +59,7 @@
   void peer_introduced(const instance_name& peer, const instance_record& record);
   void record_received(const instance_name& peer, const instance_record& record);
   void departure_received(const wire::target_departed& content);
+  void crash_counts_received(const instance_name& from, const std::vector<crash_count>& counts);
   void peer_lost(const instance_name& peer, const std::string& reason);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
@@ -79,6 +80,7 @@
   std::unique_ptr<mesh_store> store_;
   random_source random_;
   metrics counters_;
+  crash_counts crashes_;
   decision_log log_;
   sidecar_context shared_;
   upstream_pool upstreams_;
@@ -103,6 +105,7 @@
   time_point stop_began_{};
   time_point last_busy_at_{};  ///< When a request was last in progress during a stop.
   timer_handle stop_timer_;
+  timer_handle crash_count_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
 };
--- a/Source/suspicion/crash_counts.h
+++ b/Source/suspicion/crash_counts.h
@@ -12,6 +12,9 @@
 
 namespace crocusdoor {
 
+/// Reason of a refusal because the request has crashed its targets.
+inline constexpr const char* crash_refusal_reason = "crashes_targets";
+
 /// How often a request has crashed its targets, one after the other, since it last completed.
 struct crash_count {
   digest request;               ///< Digest of what stays the same when a caller repeats it.
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -17,6 +17,7 @@
 #include "mesh/configuration_change.h"
 #include "routing/load_report.h"
 #include "run_once/claim.h"
+#include "suspicion/crash_counts.h"
 #include "suspicion/crash_report.h"
 
 namespace crocusdoor::wire {
@@ -217,8 +218,11 @@
   friend bool operator==(const target_departed&, const target_departed&) = default;
 };
 
+/// Requests suspected of crashing targets: as reports between processes of `crocusdoord`, as counts
+/// between sidecars.
 struct suspicions {
   std::vector<crash_report> reports;
+  std::vector<crash_count> counts;
   friend bool operator==(const suspicions&, const suspicions&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -184,7 +184,8 @@
 template <>
 struct record_fields<wire::suspicions> {
   static constexpr auto table =
-      std::make_tuple(required_field("reports", &wire::suspicions::reports));
+      std::make_tuple(required_field("reports", &wire::suspicions::reports),
+                      optional_field("counts", &wire::suspicions::counts));
 };
 
 }  // namespace crocusdoor
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -14,6 +14,9 @@
 /// Time after the third crash within which the daemons must agree on what they do not send.
 constexpr duration contact_time = seconds(3);
 constexpr std::size_t sends_after_contact_limit = 3;
+/// A request that no two daemons process at the same time ends this many targets
+/// (docs/design/crash-suspicion.md).
+constexpr std::size_t crash_limit = 2;
 const std::string poison_body = "poison";
 
 /// Targets that end whenever they begin a request with `poison_body`, and return after a delay.
@@ -23,7 +26,7 @@
     for (const auto& instance : mesh.instances) {
       test_instance* const crashing = instance.get();
       crashing->on_request = [this, crashing](const std::shared_ptr<http_exchange>& exchange) {
-        if (exchange->request().body == poison_body) {
+        if (exchange->request().body == poison_body || std::exchange(crash_next_, false)) {
           unanswered_.push_back(exchange);
           crash(*crashing);
         } else {
@@ -43,6 +46,9 @@
     }));
   }
 
+  /// The target that gets the next request ends, whatever the request.
+  void crash_next() { crash_next_ = true; }
+
   /// Sends the heartbeats of the targets that have returned.
   void announce_returned() {
     for (test_instance* instance : std::exchange(returned_, {})) {
@@ -64,6 +70,7 @@
 
  private:
   mesh_fixture& mesh_;
+  bool crash_next_ = false;
   std::vector<std::shared_ptr<http_exchange>> unanswered_;
   std::vector<test_instance*> returned_;
   std::vector<timer_handle> timers_;
@@ -95,11 +102,80 @@
   SECTION("on a route whose requests may be repeated") {
     resend(mesh, targets, "/safe/1");
     CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+    CHECK(targets.crashed_at.size() <= crash_limit);
   }
   SECTION("on a route whose requests run at most once") {
     resend(mesh, targets, "/once/1");
     CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+    CHECK(targets.crashed_at.size() <= crash_limit);
+  }
+}
+
+TEST_CASE("a request that has crashed two targets", "[sidecar][F6]") {
+  mesh_fixture mesh;
+  for (const char* name : {"a1", "a2", "a3"}) {
+    mesh.add(name, "s");
+  }
+  test_instance& origin = *mesh.instances[0];
+  mesh.configure(1, "s");
+  mesh.start();
+  crashing_targets targets(mesh);
+  mesh.call(origin, "POST", "/safe/1", poison_body);
+  REQUIRE(targets.crashed_at.size() == crash_limit);
+  const auto return_targets = [&] {
+    mesh.run_for(2 * target_restart_delay, [] { return false; });
+    targets.announce_returned();
+    REQUIRE(
+        mesh.run_until([&] { return origin.daemon->available_upstreams(service_name("s")) == 3; }));
+  };
+  return_targets();
+
+  SECTION("is refused as not run, with the time after which it is tried again") {
+    const http_result refused = mesh.call(origin, "POST", "/safe/1", poison_body);
+    CHECK(refused.response.status == 503);
+    CHECK(std::stod(header_value(refused.response.headers, "Retry-After")) > 500);
+    CHECK(targets.crashed_at.size() == crash_limit);
+  }
+  SECTION("is refused also by daemons that have started since") {
+    for (const auto& instance : mesh.instances) {
+      instance->restart_daemon();
+      instance->daemon->start();
+      REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
+      instance->announce("ready");
+      REQUIRE(mesh.run_until(
+          [&] { return instance->daemon->available_upstreams(service_name("s")) == 3; }));
+    }
+    for (const auto& instance : mesh.instances) {
+      CHECK(mesh.call(*instance, "POST", "/safe/1", poison_body).response.status == 503);
+    }
+    CHECK(targets.crashed_at.size() == crash_limit);
+  }
+  SECTION("does not affect requests that differ in path, method or body") {
+    CHECK(mesh.call(origin, "POST", "/safe/1", "other").response.status == 200);
+    CHECK(mesh.call(origin, "GET", "/safe/1").response.status == 200);
+  }
+}
+
+TEST_CASE("a popular request that is in flight whenever a target crashes is still served",
+          "[sidecar][F6]") {
+  mesh_fixture mesh;
+  for (const char* name : {"a1", "a2", "a3"}) {
+    mesh.add(name, "s");
+  }
+  test_instance& origin = *mesh.instances[0];
+  mesh.configure(1, "s");
+  mesh.start();
+  crashing_targets targets(mesh);
+  for (std::size_t round = 1; round <= 4; ++round) {
+    targets.crash_next();
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
+    REQUIRE(targets.crashed_at.size() == round);
+    mesh.run_for(2 * target_restart_delay, [] { return false; });
+    targets.announce_returned();
+    REQUIRE(
+        mesh.run_until([&] { return origin.daemon->available_upstreams(service_name("s")) == 3; }));
   }
+  CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
 }
 
 }  // namespace crocusdoor
