Let operators list and clear requests suspected of crashing targets

An operator could see a refused request of a sidecar only in the log, and could not let it through after its cause had been mended, short of stopping all sidecars.

Change: the sidecar answers GET /v1/suspicions and POST /v1/suspicions/clear at its metrics address, with the paths and bodies of crocusdoord, so crocusdoor suspicions works with both. A clearing goes to all peers. Reading its body is one function for both programs.

Test: a section of "a request that has crashed two targets".

--- a/Source/daemon/intent_api.cpp
+++ b/Source/daemon/intent_api.cpp
@@ -6,6 +6,7 @@
 #include "configuration/decision_history.h"
 #include "configuration/intent.h"
 #include "daemon/event_log.h"
+#include "daemon/suspicion_clearing.h"
 
 namespace crocusdoor {
 
@@ -399,19 +400,14 @@
 }
 
 void intent_api::clear_suspicion(const exchange_pointer& exchange) {
-  const json document = json::parse(exchange->request().body, nullptr, false);
-  const bool valid = document.is_object() && document.value("request", json()).is_string() &&
-                     document.value("operator", json()).is_string();
-  if (!valid) {
-    respond_error(*exchange, 400, "malformed",
-                  "expected {\"request\": digest, \"operator\": name}");
+  const auto clearing = read_suspicion_clearing(*exchange);
+  if (!clearing.has_value()) {
     return;
   }
-  const std::vector<crash_report> reports =
-      daemon_.suspicions().clear(digest(document["request"].get<std::string>()),
-                                 document["operator"].get<std::string>(), event_loop::wall_now());
+  const std::vector<crash_report> reports = daemon_.suspicions().clear(
+      clearing->request, clearing->operator_name, event_loop::wall_now());
   daemon_.broadcast_suspicions(reports);
-  respond_json(*exchange, reports.empty() ? 404 : 200, {{"cleared", !reports.empty()}});
+  respond_cleared(*exchange, !reports.empty());
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Paths of the operators' API on the metrics address; every other path returns the metrics.
+constexpr const char* api_prefix = "/v1/";
+
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
@@ -125,9 +128,17 @@
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
+  suspicion_api_ = std::make_unique<suspicion_api>(shared_, [this](const crash_count& count) {
+    mesh_->send_to_all(wire::suspicions{{}, {count}});
+  });
   metrics_server_ = std::make_unique<http_server>(
-      loop_, options_.listen.metrics,
-      [this](const std::shared_ptr<http_exchange>& exchange) { answer_metrics(*exchange); });
+      loop_, options_.listen.metrics, [this](const std::shared_ptr<http_exchange>& exchange) {
+        if (exchange->request().target.starts_with(api_prefix)) {
+          suspicion_api_->answer(exchange);
+        } else {
+          answer_metrics(*exchange);
+        }
+      });
   registration_ = std::make_unique<registration_server>(shared_, *gateway_);
 }
 
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -11,6 +11,7 @@
 #include "sidecar/peer_finder.h"
 #include "sidecar/registration_server.h"
 #include "sidecar/sidecar_context.h"
+#include "sidecar/suspicion_api.h"
 #include "transport/http_server.h"
 
 namespace crocusdoor {
@@ -94,6 +95,7 @@
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> readiness_;
+  std::unique_ptr<suspicion_api> suspicion_api_;
   std::unique_ptr<http_server> metrics_server_;
   std::unique_ptr<registration_server> registration_;
   /// Incarnation and sequence number of the newest record of each peer.
--- a/Tests/platform_adapter/odd_entry_test.cpp
+++ b/Tests/platform_adapter/odd_entry_test.cpp
@@ -43,12 +43,16 @@
   };
 }
 
-std::string list_of(const std::vector<std::string>& items, bool truncated = false) {
+std::string joined(const std::vector<std::string>& items) {
   std::string text;
   for (const std::string& item : items) {
     text += (text.empty() ? "" : ",") + item;
   }
-  return R"({"items":[)" + text + R"(],"truncated":)" + (truncated ? "true" : "false") +
+  return text;
+}
+
+std::string list_of(const std::vector<std::string>& items, bool truncated = false) {
+  return R"({"items":[)" + joined(items) + R"(],"truncated":)" + (truncated ? "true" : "false") +
          R"(,"storeRevision":7})";
 }
 
@@ -152,9 +156,10 @@
   for (const std::string& odd : odd_entries()) {
     INFO(odd.substr(0, 100));
     const std::string event = R"({"object":)" + odd + R"(,"deleted":false})";
-    for (const std::string& events : {event + "," + configuration, configuration + "," + event}) {
+    for (const auto& events :
+         {std::vector{event, configuration}, std::vector{configuration, event}}) {
       const configuration_read_result result =
-          read_configuration_events(R"({"events":[)" + events + R"(],"storeRevision":9})");
+          read_configuration_events(R"({"events":[)" + joined(events) + R"(],"storeRevision":9})");
       CHECK(result.outcome == store_outcome::done);
       CHECK(result.revision == 9);
       REQUIRE(result.configuration.has_value());
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -150,6 +150,28 @@
     }
     CHECK(targets.crashed_at.size() == crash_limit);
   }
+  SECTION("can be listed and cleared by an operator, at any daemon") {
+    http_client api(mesh.loop, mesh.instances[1]->metrics_endpoint(), {});
+    const auto ask = [&](const std::string& method, const std::string& path, const json& body) {
+      http_result received;
+      api.send({method, path, {}, body.dump()}, seconds(5), [&](const http_result& result) {
+        received = result;
+        mesh.loop.stop();
+      });
+      mesh.loop.run();
+      return received.response;
+    };
+    const json listed = json::parse(ask("GET", "/v1/suspicions", {}).body);
+    REQUIRE(listed["suspicions"].size() == 1);
+    CHECK(listed["suspicions"][0]["crashes"] == crash_limit);
+    const json clearing = {{"request", listed["suspicions"][0]["request"]}, {"operator", "ana"}};
+    CHECK(ask("POST", "/v1/suspicions/clear", {{"request", 1}}).status == 400);
+    CHECK(ask("POST", "/v1/suspicions/clear", clearing).status == 200);
+    CHECK(ask("POST", "/v1/suspicions/clear", clearing).status == 404);
+    mesh.run_for(milliseconds(20), [] { return false; });
+    mesh.call(origin, "POST", "/safe/1", poison_body);
+    CHECK(targets.crashed_at.size() > crash_limit);
+  }
   SECTION("does not affect requests that differ in path, method or body") {
     CHECK(mesh.call(origin, "POST", "/safe/1", "other").response.status == 200);
     CHECK(mesh.call(origin, "GET", "/safe/1").response.status == 200);
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -70,6 +70,8 @@
   void restart_target();
   [[nodiscard]] std::uint16_t callers_port() const { return options_.listen.callers.port; }
 
+  [[nodiscard]] const ip_endpoint& metrics_endpoint() const { return options_.listen.metrics; }
+
   std::string name;
   std::string service;
   std::vector<http_request> received;  ///< Requests that the target has received.
