Keep popular requests from being refused after crashes of others

Callers would have seen: a request that many callers send, in flight when several targets crash, refused for up to ten minutes.

Cause: a completed run resets the crash count of its request only where the count is known already. A report that is delayed by a blocked loop comes after the last completed run, and once the request is refused there is no further run.

Change: each daemon remembers for 3 s which requests its target has completed. Such a request is not counted at a crash, and a report of a peer about it is answered with a reset, after a random delay so that mostly one daemon answers.

Why it works: a request that crashes each target never completes, so a completion proves as much before the report as after it.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -245,9 +245,6 @@
 }
 
 void inbound_gateway::request_completed(const wire::call& call) {
-  if (shared_.crashes.empty()) {
-    return;
-  }
   const auto count = shared_.crashes.completed(repeated_request_digest(call), shared_.loop.now());
   if (count.has_value()) {
     shared_.log.info("crash_count_reset",
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -30,6 +30,9 @@
 constexpr duration passive_dial_delay = std::chrono::milliseconds(600);
 
 constexpr duration crash_count_interval = std::chrono::seconds(1);
+/// Daemons whose targets have completed a request that is reported to have crashed another one
+/// answer after a random part of this delay, so that mostly one of them answers.
+constexpr duration crash_count_reset_delay = std::chrono::milliseconds(50);
 
 constexpr duration loop_delay_interval = std::chrono::milliseconds(100);
 /// Delays of the event loop from this length on are logged, because callers notice them.
@@ -332,8 +335,30 @@
                  {"crashes", count.crashes},
                  {"clearings", count.clearings},
                  {"refused_ms", to_ms(crashes_.refusal_left(count.request, loop_.now()))}});
+      if (count.crashes > 0) {
+        reported_crashes_.push_back(count.request);
+      }
     }
   }
+  if (!reported_crashes_.empty() && crash_reset_timer_ == nullptr) {
+    crash_reset_timer_ = loop_.after(random_.up_to(crash_count_reset_delay),
+                                     [this] { reset_counts_of_completed(); });
+  }
+}
+
+void sidecar_daemon::reset_counts_of_completed() {
+  std::vector<crash_count> changed;
+  for (const digest& request : std::exchange(reported_crashes_, {})) {
+    const auto count = crashes_.reset_if_completed(request, loop_.now());
+    if (count.has_value()) {
+      changed.push_back(*count);
+      log_.info("crash_count_reset", {{"request", request.str()}, {"clearings", count->clearings}});
+    }
+  }
+  if (!changed.empty()) {
+    mesh_->send_to_all(wire::suspicions{{}, changed});
+  }
+  crash_reset_timer_ = nullptr;
 }
 
 void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -61,6 +61,7 @@
   void record_received(const instance_name& peer, const instance_record& record);
   void departure_received(const wire::target_departed& content);
   void crash_counts_received(const instance_name& from, const std::vector<crash_count>& counts);
+  void reset_counts_of_completed();
   void peer_lost(const instance_name& peer, const std::string& reason);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
@@ -107,6 +108,8 @@
   time_point stop_began_{};
   time_point last_busy_at_{};  ///< When a request was last in progress during a stop.
   timer_handle stop_timer_;
+  std::vector<digest> reported_crashes_;  ///< To be reset if they have completed here.
+  timer_handle crash_reset_timer_;
   timer_handle crash_count_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
--- a/Source/suspicion/crash_counts.cpp
+++ b/Source/suspicion/crash_counts.cpp
@@ -19,11 +19,30 @@
 
 std::optional<crash_count> crash_counts::crashed(const digest& request, const crash_count& known,
                                                  time_point now) {
+  if (completed_recently(request, now)) {
+    return std::nullopt;
+  }
   const crash_count next{request, known.clearings, known.crashes + 1};
   return merge(next, now) ? std::optional(next) : std::nullopt;
 }
 
 std::optional<crash_count> crash_counts::completed(const digest& request, time_point now) {
+  if (completions_.size() < limits_.completions || completions_.contains(request)) {
+    completions_[request] = now;
+  }
+  return clear(request, now);
+}
+
+std::optional<crash_count> crash_counts::reset_if_completed(const digest& request, time_point now) {
+  return completed_recently(request, now) ? clear(request, now) : std::nullopt;
+}
+
+bool crash_counts::completed_recently(const digest& request, time_point now) const {
+  const auto found = completions_.find(request);
+  return found != completions_.end() && now - found->second < limits_.completion_memory;
+}
+
+std::optional<crash_count> crash_counts::clear(const digest& request, time_point now) {
   const crash_count current = count(request);
   if (current.crashes == 0) {
     return std::nullopt;
@@ -59,6 +78,8 @@
 void crash_counts::expire(time_point now) {
   std::erase_if(entries_,
                 [&](const auto& item) { return now - item.second.changed_at >= limits_.age; });
+  std::erase_if(completions_,
+                [&](const auto& item) { return now - item.second >= limits_.completion_memory; });
 }
 
 std::vector<crash_count> crash_counts::all() const {
--- a/Source/suspicion/crash_counts.h
+++ b/Source/suspicion/crash_counts.h
@@ -37,15 +37,20 @@
   duration age = std::chrono::minutes(10);
   /// Maximum number of requests; those that have not changed for the longest are removed first.
   std::size_t requests = 2'000;
+  /// For this long a completed run on this daemon's target keeps its request from being counted.
+  duration completion_memory = std::chrono::seconds(3);
+  /// Maximum number of completed requests that are remembered.
+  std::size_t completions = 4'096;
 };
 
 /// The crash counts of requests, merged from all daemons. The result does not depend on the order
 /// of the reports or on repeats, and no clock is compared with that of another daemon.
 ///
 /// Requests that run beside the one that crashes a target are counted with it. What tells them
-/// apart is that they complete: each completed run, on any target, resets the count. Crashes of
-/// several targets at the same moment count once, because a request that is in flight at all of
-/// them began before any of the crashes was known.
+/// apart is that they complete: each completed run, on any target, resets the count, also if the
+/// report of the crash arrives a little later than the completion. Crashes of several targets at
+/// the same moment count once, because a request that is in flight at all of them began before any
+/// of the crashes was known.
 class crash_counts {
  public:
   explicit crash_counts(crash_count_limits limits = {}) : limits_(limits) {}
@@ -56,19 +61,20 @@
                                      time_point now);
   /// A request completed on a target. Returns the count to send to the peers if it has changed.
   std::optional<crash_count> completed(const digest& request, time_point now);
+  /// Resets the count of a request that completed on this daemon's target a short time ago. Call
+  /// after a merge. Returns the count to send to the peers if it has changed.
+  std::optional<crash_count> reset_if_completed(const digest& request, time_point now);
   /// Merges the count of a peer. Returns whether it was newer.
   bool merge(const crash_count& received, time_point now);
   /// An operator resets the count. Returns the count to send to the peers if it has changed.
-  std::optional<crash_count> clear(const digest& request, time_point now) {
-    return completed(request, now);
-  }
+  std::optional<crash_count> clear(const digest& request, time_point now);
 
   /// The count of a request; 0 crashes if none is known.
   [[nodiscard]] crash_count count(const digest& request) const;
   /// How long a request is not to be sent to any target; zero if it may be sent.
   [[nodiscard]] duration refusal_left(const digest& request, time_point now) const;
 
-  /// Removes counts past the age limit. Call about once a second.
+  /// Removes counts and completions past their age limits. Call about once a second.
   void expire(time_point now);
   /// All counts, to be sent to a daemon that has just been linked.
   [[nodiscard]] std::vector<crash_count> all() const;
@@ -82,10 +88,12 @@
     time_point changed_at;
   };
 
+  [[nodiscard]] bool completed_recently(const digest& request, time_point now) const;
   void remove_oldest();
 
   crash_count_limits limits_;
   std::map<digest, entry> entries_;
+  std::map<digest, time_point> completions_;  ///< Latest completed runs on this daemon's target.
 };
 
 }  // namespace crocusdoor
--- a/Tests/suspicion/crash_counts_test.cpp
+++ b/Tests/suspicion/crash_counts_test.cpp
@@ -67,6 +67,24 @@
   }
 }
 
+TEST_CASE("a completed run counts also if the report of a crash arrives after it", "[F6]") {
+  crash_counts counts;
+  counts.completed(popular, start);
+  counts.merge({popular, 0, 2}, start + 1s);
+  REQUIRE(counts.refusal_left(popular, start + 1s) > duration::zero());
+
+  SECTION("which resets the count") {
+    CHECK(counts.reset_if_completed(popular, start + 1s).has_value());
+    CHECK(counts.refusal_left(popular, start + 1s) == duration::zero());
+  }
+  SECTION("but not much later, when the request may have begun to crash targets") {
+    CHECK_FALSE(counts.reset_if_completed(popular, start + 3s).has_value());
+  }
+  SECTION("and not for another request") {
+    CHECK_FALSE(counts.reset_if_completed(poison, start + 1s).has_value());
+  }
+}
+
 TEST_CASE("daemons that receive the same crash counts in any order agree", "[F6]") {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     random_source random(seed);
