Count the bytes sent to other daemons by kind and failure domain

Change: link_traffic counts messages and encoded bytes by kind of message and by whether the receiver is in the own failure domain. Both programs show the counts at their metrics address (crocusdoor_link_messages_sent_total, crocusdoor_link_bytes_sent_total), and the sidecar writes them to its log every 10 s (link_traffic).

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -58,7 +58,10 @@
                                duration::zero(),
                                options_.timing.heartbeat_timeout_ms,
                                options_.timing.reconnect_base_ms,
-                               options_.timing.reconnect_limit_ms},
+                               options_.timing.reconnect_limit_ms,
+                               true,
+                               duration::zero(),
+                               options_.instance.domain},
       mesh_handlers());
   membership_ = std::make_unique<membership_service>(shared_, *mesh_, platform_, make_self(),
                                                      [this] { directory_changed(); });
@@ -316,6 +319,7 @@
       .Set(static_cast<double>(mesh_->bytes_sent()));
   counters_.total("crocusdoor_peer_bytes_received_total", "Bytes received from other daemons")
       .Set(static_cast<double>(mesh_->bytes_received()));
+  counters_.set_link_traffic(mesh_->traffic());
   counters_.total("crocusdoor_refused_messages_total", "Messages that were not valid")
       .Set(static_cast<double>(mesh_->refused_messages()));
   counters_.total("crocusdoor_platform_reads_total", "Read calls of the platform")
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -142,12 +142,23 @@
   loop_delay_->Observe(seconds(delay));
 }
 
-prometheus::Gauge& metrics::total(const std::string& name, const std::string& help) {
-  prometheus::Gauge*& gauge = totals_[name];
-  if (gauge == nullptr) {
-    gauge = make_gauge(registry_, name, help);
+prometheus::Gauge& metrics::total(const std::string& name, const std::string& help,
+                                  const prometheus::Labels& labels) {
+  // The registry returns the existing gauge of a name and labels that it knows.
+  return prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels);
+}
+
+void metrics::set_link_traffic(const link_traffic& traffic) {
+  for (const auto& [scope, amounts] : traffic.totals()) {
+    for (const auto& [kind, sent] : amounts) {
+      const prometheus::Labels labels{{"kind", kind}, {"scope", std::string(to_string(scope))}};
+      total("crocusdoor_link_messages_sent_total", "Messages sent to other daemons", labels)
+          .Set(static_cast<double>(sent.messages));
+      total("crocusdoor_link_bytes_sent_total", "Bytes of the messages sent to other daemons",
+            labels)
+          .Set(static_cast<double>(sent.bytes));
+    }
   }
-  return *gauge;
 }
 
 std::string metrics::render() const {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -5,11 +5,11 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
-#include <map>
 #include <string>
 
 #include "core/time.h"
 #include "core/verdict.h"
+#include "link/link_traffic.h"
 
 namespace crocusdoor {
 
@@ -52,7 +52,10 @@
   prometheus::Gauge& linked_peers() { return *linked_peers_; }
   prometheus::Gauge& platform_reachable() { return *platform_reachable_; }
   /// Gauge for a total that another object counts; set at the time of the scrape.
-  prometheus::Gauge& total(const std::string& name, const std::string& help);
+  prometheus::Gauge& total(const std::string& name, const std::string& help,
+                           const prometheus::Labels& labels = {});
+  /// Sets the totals of the messages and bytes sent to other daemons.
+  void set_link_traffic(const link_traffic& traffic);
 
   [[nodiscard]] std::string render() const;
 
@@ -80,7 +83,6 @@
   prometheus::Gauge* live_instances_;
   prometheus::Gauge* linked_peers_;
   prometheus::Gauge* platform_reachable_;
-  std::map<std::string, prometheus::Gauge*> totals_;
 };
 
 }  // namespace crocusdoor
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -30,9 +30,10 @@
       settings_(std::move(settings)),
       callbacks_(std::move(callbacks)) {
   context_ = std::make_shared<const peer_session::context>(peer_session::context{
-      loop_, settings_.self, [this] { return intervals(); }, callbacks_.make_hello,
-      std::make_shared<std::uint64_t>(0), callbacks_.configuration_version,
-      callbacks_.configuration_digest, callbacks_.load, settings_.respond_to_heartbeats,
+      loop_, settings_.self, settings_.domain, [this] { return intervals(); },
+      callbacks_.make_hello, std::make_shared<std::uint64_t>(0), std::make_shared<link_traffic>(),
+      callbacks_.configuration_version, callbacks_.configuration_digest, callbacks_.load,
+      settings_.respond_to_heartbeats,
       while_alive([this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
       }),
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -36,6 +36,8 @@
     /// How long this daemon waits before it dials a permanent peer whose name sorts before its own.
     /// The peer dials first, so that the two daemons do not both dial.
     duration passive_delay{};
+    /// Failure domain of this daemon, to tell apart the traffic to other ones.
+    failure_domain domain{};
   };
 
   struct handlers {
@@ -92,6 +94,7 @@
   [[nodiscard]] bool linked(const instance_name& peer) const override;
   [[nodiscard]] std::uint64_t incarnation_of(const instance_name& peer) const override;
   [[nodiscard]] std::vector<instance_name> linked_peers() const;
+  [[nodiscard]] const link_traffic& traffic() const noexcept { return *context_->traffic; }
   [[nodiscard]] std::uint64_t bytes_sent() const;
   [[nodiscard]] std::uint64_t bytes_received() const;
   [[nodiscard]] std::uint64_t refused_messages() const;
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -37,14 +37,24 @@
   if (!std::holds_alternative<wire::heartbeat>(content)) {
     schedule_.used(shared_->loop.now());
   }
-  return link_->send(
-      {shared_->configuration_version(), std::move(content), event_loop::since_boot()});
+  const wire::envelope message{shared_->configuration_version(), std::move(content),
+                               event_loop::since_boot()};
+  return send_encoded(message.content, wire::encode(message));
 }
 
 bool peer_session::send(const wire::shared_message& content) {
   schedule_.used(shared_->loop.now());
-  return link_->send_encoded(wire::encode(shared_->configuration_version(), content,
-                                          peer_reads_deflated_, event_loop::since_boot()));
+  return send_encoded(content.content(),
+                      wire::encode(shared_->configuration_version(), content, peer_reads_deflated_,
+                                   event_loop::since_boot()));
+}
+
+bool peer_session::send_encoded(const wire::message& content, const std::string& payload) {
+  const bool accepted = link_->send_encoded(payload);
+  if (accepted) {
+    shared_->traffic->count(scope_, wire::kind_of(content), payload.size());
+  }
+  return accepted;
 }
 
 void peer_session::close(const std::string& reason) {
@@ -128,6 +138,8 @@
   }
   peer_ = greeting.self.name;
   peer_reads_deflated_ = greeting.reads_deflated;
+  scope_ =
+      greeting.self.domain == shared_->domain ? link_scope::same_domain : link_scope::other_domain;
   const bool first_hello = !established_;
   established_ = true;
   shared_->received(shared_from_this(), message);
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "link/heartbeat_schedule.h"
+#include "link/link_traffic.h"
 #include "link/transit_delay.h"
 #include "membership/instance_record.h"
 #include "transport/event_loop.h"
@@ -22,11 +23,13 @@
   struct context {
     event_loop& loop;
     instance_name self;
+    failure_domain domain;  ///< Of this daemon.
     /// Intervals of the heartbeats; the idle interval may depend on the number of links.
     std::function<heartbeat_intervals()> intervals;
     std::function<wire::hello(const instance_name& peer)> make_hello;
     /// Number of links opened so far, from which each link gets its number.
     std::shared_ptr<std::uint64_t> links_opened;
+    std::shared_ptr<link_traffic> traffic;
     /// Current configuration version of this daemon.
     std::function<version_number()> configuration_version;
     std::function<digest()> configuration_digest;
@@ -77,11 +80,13 @@
   void message_received(wire::envelope message);
   void accept_hello(const wire::envelope& message, const wire::hello& greeting);
   void link_closed(const std::string& reason);
+  bool send_encoded(const wire::message& content, const std::string& payload);
 
   std::shared_ptr<const context> shared_;
   std::uint64_t number_;
   std::shared_ptr<peer_link> link_;
   instance_name peer_;
+  link_scope scope_ = link_scope::unknown;
   bool established_ = false;
   bool peer_reads_deflated_ = false;
   std::uint64_t heartbeat_sequence_ = 0;
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -38,6 +38,9 @@
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
 
+/// Interval of the log lines about the traffic to other daemons.
+constexpr duration traffic_log_interval = std::chrono::seconds(10);
+
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 /// Callers check readiness once a second and keep using a daemon until two checks have failed.
 constexpr duration unready_notice_time = std::chrono::milliseconds(2'300);
@@ -156,7 +159,8 @@
           first_redial_delay,
           maximum_redial_delay,
           false,
-          passive_dial_delay};
+          passive_dial_delay,
+          options_.instance.domain};
 }
 
 instance_record sidecar_daemon::self_record() const {
@@ -264,9 +268,22 @@
   configurations_->start();
   finder_->start();
   crash_count_timer_ = loop_.every(crash_count_interval, [this] { crashes_.expire(loop_.now()); });
+  traffic_log_timer_ = loop_.every(traffic_log_interval, [this] { log_traffic(); });
   measure_loop_delay();
 }
 
+void sidecar_daemon::log_traffic() {
+  for (const auto& [scope, amounts] : mesh_->traffic().totals()) {
+    nlohmann::json kinds = nlohmann::json::object();
+    for (const auto& [kind, sent] : amounts) {
+      kinds[kind] = {sent.messages, sent.bytes};
+    }
+    log_.info("link_traffic", {{"scope", std::string(to_string(scope))},
+                               {"bytes", mesh_->traffic().bytes(scope)},
+                               {"messages_and_bytes", kinds}});
+  }
+}
+
 void sidecar_daemon::measure_loop_delay() {
   const time_point now = loop_.now();
   if (loop_delay_timer_ != nullptr) {
@@ -421,6 +438,7 @@
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
+  counters_.set_link_traffic(mesh_->traffic());
   exchange.respond(
       {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.render()});
 }
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -68,6 +68,7 @@
   void configuration_adopted(const route_table_pointer& table);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
+  void log_traffic();
   void measure_loop_delay();
   /// Time at which a stop ends even if requests are in progress; empty if no stop has begun.
   [[nodiscard]] std::optional<time_point> end_of_process() const;
@@ -111,6 +112,7 @@
   std::vector<digest> reported_crashes_;  ///< To be reset if they have completed here.
   timer_handle crash_reset_timer_;
   timer_handle crash_count_timer_;
+  timer_handle traffic_log_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
 };
