Keep links without requests idle when records change

Cause: a link counted as busy for a second after any message but a heartbeat.

Change: only messages of requests make a link busy, because only then a caller may be waiting for a silent peer to be noticed.

--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -6,6 +6,23 @@
 
 namespace crocusdoor {
 
+namespace {
+
+template <typename... Kinds>
+bool is_one_of(const wire::message& content) {
+  return (std::holds_alternative<Kinds>(content) || ...);
+}
+
+/// Whether a caller may be waiting for what a message leads to. Only then a silent link must be
+/// noticed soon. In a fleet of hundreds, each change of an instance is sent over all links.
+bool belongs_to_request(const wire::message& content) {
+  return is_one_of<wire::call, wire::call_answer, wire::call_cancel, wire::call_status,
+                   wire::call_status_answer, wire::claim_request, wire::claim_answer,
+                   wire::claim_complete, wire::claim_complete_answer>(content);
+}
+
+}  // namespace
+
 std::shared_ptr<peer_session> peer_session::connect(const std::shared_ptr<const context>& shared,
                                                     const ip_endpoint& remote,
                                                     const instance_name& expected) {
@@ -38,7 +55,7 @@
 }
 
 bool peer_session::send(wire::message content) {
-  if (!std::holds_alternative<wire::heartbeat>(content)) {
+  if (belongs_to_request(content)) {
     schedule_.used(shared_->loop.now());
   }
   const wire::envelope message{shared_->configuration_version(), std::move(content),
@@ -48,7 +65,6 @@
 }
 
 bool peer_session::send(const wire::shared_message& content) {
-  schedule_.used(shared_->loop.now());
   const version_number version = shared_->configuration_version();
   const std::chrono::microseconds sent_at = event_loop::since_boot();
   // A large body is deflated once for all links instead of once for each of them.
@@ -119,10 +135,10 @@
     close("peer sent another message before its hello message");
     return;
   }
-  const auto* heartbeat = std::get_if<wire::heartbeat>(&message.content);
-  if (heartbeat == nullptr) {
+  if (belongs_to_request(message.content)) {
     schedule_.used(now);
   }
+  const auto* heartbeat = std::get_if<wire::heartbeat>(&message.content);
   if (heartbeat != nullptr && shared_->respond_to_heartbeats) {
     send(wire::heartbeat_answer{heartbeat->sequence, shared_->configuration_digest()});
   }
--- a/Source/link/heartbeat_schedule.h
+++ b/Source/link/heartbeat_schedule.h
@@ -21,7 +21,7 @@
   explicit heartbeat_schedule(time_point opened_at)
       : busy_since_(opened_at), last_used_at_(opened_at), last_received_at_(opened_at) {}
 
-  /// Records that a message other than a heartbeat was sent or received.
+  /// Records that a message of a request was sent or received.
   void used(time_point now);
   /// Records the arrival of any message.
   void received(time_point now) { last_received_at_ = now; }
