--- /dev/null
+++ b/Source/sidecar/crash_count_exchange.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "sidecar/sidecar_context.h"
+
+namespace crocusdoor {
+
+/// Exchanges with the other daemons how often requests have crashed their targets.
+class crash_count_exchange {
+ public:
+  /// `send_to_all` sends counts to all peers.
+  crash_count_exchange(const sidecar_context& shared,
+                       std::function<void(const std::vector<crash_count>&)> send_to_all);
+
+  /// Begins to remove counts past their age limit.
+  void start();
+  void received(const instance_name& from, const std::vector<crash_count>& counts);
+  /// Sends counts that have changed on this daemon; does nothing if there are none.
+  void changed(const std::vector<crash_count>& counts) const;
+
+ private:
+  void reset_counts_of_completed();
+
+  const sidecar_context& shared_;
+  std::function<void(const std::vector<crash_count>&)> send_to_all_;
+  std::vector<digest> reported_;  ///< Requests to be reset if they have completed here.
+  timer_handle reset_timer_;
+  timer_handle expiry_timer_;
+};
+
+}  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -29,11 +29,6 @@
 /// link to it only after this delay, in case the other daemon cannot.
 constexpr duration passive_dial_delay = std::chrono::milliseconds(600);
 
-constexpr duration crash_count_interval = std::chrono::seconds(1);
-/// Daemons whose targets have completed a request that is reported to have crashed another one
-/// answer after a random part of this delay, so that mostly one of them answers.
-constexpr duration crash_count_reset_delay = std::chrono::milliseconds(50);
-
 constexpr duration loop_delay_interval = std::chrono::milliseconds(100);
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
@@ -72,6 +67,10 @@
               log_,      counters_,    {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
+  crash_exchange_ = std::make_unique<crash_count_exchange>(
+      shared_, [this](const std::vector<crash_count>& counts) {
+        mesh_->send_to_all(wire::suspicions{{}, counts});
+      });
   finder_ = std::make_unique<peer_finder>(shared_, *store_, *mesh_);
   configurations_ = std::make_unique<configuration_exchange>(
       configuration_context{loop_, random_, log_, counters_}, *store_,
@@ -83,27 +82,26 @@
           },
           [this](const instance_name& peer) { mesh_->announce_version(peer); }});
   gateway_ = std::make_unique<inbound_gateway>(
-      shared_, inbound_gateway::handlers{
-                   [this](const instance_name& to, const wire::call_answer& response) {
-                     if (to == shared_.self.name) {
-                       router_->receive_local_response(response);
-                     } else {
-                       mesh_->send(to, response);
-                     }
-                   },
-                   [this](const inbound_request& request) {
-                     return request.from == shared_.self.name ||
-                            mesh_->read_received_data(request.from, request.call.link);
-                   },
-                   [this] { status_changed(); },
-                   [this](const target_departure& departure) {
-                     departure_received({shared_.self.name, departure.id, departure.born_ms});
-                     mesh_->send_to_all(departures_.at(shared_.self.name));
-                   },
-                   [this] { return configurations_->current(); },
-                   [this](const std::vector<crash_count>& counts) {
-                     mesh_->send_to_all(wire::suspicions{{}, counts});
-                   }});
+      shared_,
+      inbound_gateway::handlers{
+          [this](const instance_name& to, const wire::call_answer& response) {
+            if (to == shared_.self.name) {
+              router_->receive_local_response(response);
+            } else {
+              mesh_->send(to, response);
+            }
+          },
+          [this](const inbound_request& request) {
+            return request.from == shared_.self.name ||
+                   mesh_->read_received_data(request.from, request.call.link);
+          },
+          [this] { status_changed(); },
+          [this](const target_departure& departure) {
+            departure_received({shared_.self.name, departure.id, departure.born_ms});
+            mesh_->send_to_all(departures_.at(shared_.self.name));
+          },
+          [this] { return configurations_->current(); },
+          [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
       call_router::handlers{[this](const wire::call& request) {
@@ -134,9 +132,8 @@
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
-  suspicion_api_ = std::make_unique<suspicion_api>(shared_, [this](const crash_count& count) {
-    mesh_->send_to_all(wire::suspicions{{}, {count}});
-  });
+  suspicion_api_ = std::make_unique<suspicion_api>(
+      shared_, [this](const crash_count& count) { crash_exchange_->changed({count}); });
   metrics_server_ = std::make_unique<http_server>(
       loop_, options_.listen.metrics, [this](const std::shared_ptr<http_exchange>& exchange) {
         if (exchange->request().target.starts_with(api_prefix)) {
@@ -252,7 +249,7 @@
   dispatcher.on<wire::target_departed>(
       [this](const instance_name&, const auto& content) { departure_received(content); });
   dispatcher.on<wire::suspicions>([this](const instance_name& from, const auto& content) {
-    crash_counts_received(from, content.counts);
+    crash_exchange_->received(from, content.counts);
   });
   dispatcher.on<wire::heartbeat>([this](const instance_name& from, const auto& heartbeat) {
     if (heartbeat.load.has_value()) {
@@ -270,7 +267,7 @@
                         {"peers", to_string(options_.listen.peers)}});
   configurations_->start();
   finder_->start();
-  crash_count_timer_ = loop_.every(crash_count_interval, [this] { crashes_.expire(loop_.now()); });
+  crash_exchange_->start();
   traffic_log_timer_ = loop_.every(traffic_log_interval, [this] { log_traffic(); });
   measure_loop_delay();
 }
@@ -345,42 +342,6 @@
   }
 }
 
-void sidecar_daemon::crash_counts_received(const instance_name& from,
-                                           const std::vector<crash_count>& counts) {
-  for (const crash_count& count : counts) {
-    if (crashes_.merge(count, loop_.now())) {
-      log_.info("crash_count_received",
-                {{"peer", from.str()},
-                 {"request", count.request.str()},
-                 {"crashes", count.crashes},
-                 {"clearings", count.clearings},
-                 {"refused_ms", to_ms(crashes_.refusal_left(count.request, loop_.now()))}});
-      if (count.crashes > 0) {
-        reported_crashes_.push_back(count.request);
-      }
-    }
-  }
-  if (!reported_crashes_.empty() && crash_reset_timer_ == nullptr) {
-    crash_reset_timer_ = loop_.after(random_.up_to(crash_count_reset_delay),
-                                     [this] { reset_counts_of_completed(); });
-  }
-}
-
-void sidecar_daemon::reset_counts_of_completed() {
-  std::vector<crash_count> changed;
-  for (const digest& request : std::exchange(reported_crashes_, {})) {
-    const auto count = crashes_.reset_if_completed(request, loop_.now());
-    if (count.has_value()) {
-      changed.push_back(*count);
-      log_.info("crash_count_reset", {{"request", request.str()}, {"clearings", count->clearings}});
-    }
-  }
-  if (!changed.empty()) {
-    mesh_->send_to_all(wire::suspicions{{}, changed});
-  }
-  crash_reset_timer_ = nullptr;
-}
-
 void sidecar_daemon::peer_lost(const instance_name& peer, const std::string& reason) {
   log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -6,6 +6,7 @@
 
 #include "daemon/peer_mesh.h"
 #include "sidecar/configuration_exchange.h"
+#include "sidecar/crash_count_exchange.h"
 #include "sidecar/inbound_gateway.h"
 #include "sidecar/outbound_services.h"
 #include "sidecar/peer_finder.h"
@@ -60,8 +61,6 @@
   void peer_introduced(const instance_name& peer, const instance_record& record);
   void record_received(const instance_name& peer, const instance_record& record);
   void departure_received(const wire::target_departed& content);
-  void crash_counts_received(const instance_name& from, const std::vector<crash_count>& counts);
-  void reset_counts_of_completed();
   void peer_lost(const instance_name& peer, const std::string& reason);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
@@ -90,6 +89,7 @@
   weighted_rotation rotation_;
   std::map<service_name, retry_window> retries_;
   std::unique_ptr<peer_mesh> mesh_;
+  std::unique_ptr<crash_count_exchange> crash_exchange_;
   std::unique_ptr<peer_finder> finder_;
   std::unique_ptr<configuration_exchange> configurations_;
   std::unique_ptr<inbound_gateway> gateway_;
@@ -109,9 +109,6 @@
   time_point stop_began_{};
   time_point last_busy_at_{};  ///< When a request was last in progress during a stop.
   timer_handle stop_timer_;
-  std::vector<digest> reported_crashes_;  ///< To be reset if they have completed here.
-  timer_handle crash_reset_timer_;
-  timer_handle crash_count_timer_;
   timer_handle traffic_log_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
