Log and measure the phases of a sidecar's start

Cause: after a restart of all machines of the large site callers were served again only after seconds, and no log line told what a starting sidecar waited for.

Change: start_timeline records when the entry was stored, the peers were listed, the first configuration was in use, the target was known, the first and all links were open and the first response was delivered: a log line start_phase and crocusdoor_start_phase_seconds.

--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -324,6 +324,7 @@
   response.status = upstream_response.status;
   response.headers = {upstream_response.headers.begin(), upstream_response.headers.end()};
   response.body = upstream_response.body.bytes;
+  shared_.start.reached(start_phase::first_response);
   finish(response, verdict::ran, "");
 }
 
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -23,6 +23,7 @@
   const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers)};
   store_.announce_daemon(entry, [this](store_outcome outcome) {
     if (outcome == store_outcome::done) {
+      shared_.start.reached(start_phase::entry_stored);
       list();
     } else {
       retry(&peer_finder::announce);
@@ -58,6 +59,7 @@
     shared_.log.info("daemons_listed", {{"daemons", endpoints_.size()}});
   }
   listed_ = true;
+  shared_.start.reached(start_phase::peers_listed);
   update_links();
   next_call_ = shared_.loop.after(relist_interval, [this] { list(); });
 }
--- a/Source/sidecar/sidecar_context.h
+++ b/Source/sidecar/sidecar_context.h
@@ -7,6 +7,7 @@
 #include "sidecar/decision_log.h"
 #include "sidecar/platform_contract.h"
 #include "sidecar/sidecar_settings.h"
+#include "sidecar/start_timeline.h"
 #include "suspicion/crash_counts.h"
 #include "transport/event_loop.h"
 
@@ -23,6 +24,7 @@
   crash_counts& crashes;
   decision_log& log;
   metrics& counters;
+  start_timeline& start;
   /// Name and incarnation of this process.
   peer_process self;
 };
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -62,9 +62,10 @@
       store_(std::move(store)),
       random_(stable_hash(options_.instance.name.str(), start_incarnation())),
       log_(loop_, options_.instance.name.str(), options_.log, STDOUT_FILENO),
-      shared_{loop_,     random_,      options_,
-              contract_, retry_limit_, crashes_,
-              log_,      counters_,    {options_.instance.name, start_incarnation()}},
+      start_(loop_, log_, counters_),
+      shared_{
+          loop_,    random_, options_,  contract_, retry_limit_,
+          crashes_, log_,    counters_, start_,    {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   crash_exchange_ = std::make_unique<crash_count_exchange>(
@@ -312,7 +313,12 @@
   log_.info("peer_linked", {{"peer", peer.str()},
                             {"incarnation", record.incarnation},
                             {"state", std::string(to_string(record.state))}});
-  counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
+  const std::size_t links = mesh_->linked_peers().size();
+  counters_.linked_peers().Set(static_cast<double>(links));
+  start_.reached(start_phase::first_link);
+  if (finder_->listed() && links + 1 >= finder_->daemon_count()) {
+    start_.reached(start_phase::all_links);
+  }
   record_received(peer, record);
   gateway_->work().peer_established(peer, record.incarnation);
 }
@@ -361,12 +367,16 @@
 void sidecar_daemon::status_changed() {
   ++record_sequence_;
   const instance_record self = self_record();
+  if (self.state == instance_state::ready) {
+    start_.reached(start_phase::target_known);
+  }
   upstreams_.set_upstream({self.name, self.service, self.domain, self.slots,
                            self.state == instance_state::ready, loop_.now() + self.warmup_left_ms});
   mesh_->send_to_all(wire::records{{self}});
 }
 
 void sidecar_daemon::configuration_adopted(const route_table_pointer& table) {
+  start_.reached(start_phase::configured);
   const caller_limits& limits = table->content().limits;
   http_server_limits server_limits;
   server_limits.size.header_bytes = limits.header_bytes;
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -84,6 +84,7 @@
   metrics counters_;
   crash_counts crashes_;
   decision_log log_;
+  start_timeline start_;
   sidecar_context shared_;
   upstream_pool upstreams_;
   weighted_rotation rotation_;
