Deliver a response that a target writes twice to one caller only

What callers saw (reported by operators of similar systems, shown here by a test): the daemon beside a target keeps connections. A target that writes a second copy of a response after the next request was written on the same connection got the copy delivered to the next caller, whose own response was discarded.

Change: crocusdoord states X-Exchange-Id on each request. A response that repeats it belongs to that request; one that repeats another id is skipped; one without an id is accepted only as the first one on its connection, which is then closed. The rule is one function for both programs, match_by_id. The target's stand-in repeats the header.

Test: 'a response that a target writes twice reaches one caller only', with a target that repeats ids and one that does not; before, both got 'first' as the response to the second request (3 checks failed).

Remains: targets that do not repeat the header cost a connection for each request, which was not measured.

--- a/Source/daemon/target_client.cpp
+++ b/Source/daemon/target_client.cpp
@@ -11,9 +11,14 @@
 
 constexpr duration probe_timeout = std::chrono::milliseconds(500);
 
+/// Id of one exchange with the target. The target repeats it in its response, so that a second copy
+/// of a response is not taken for the response to the next request on the connection.
+constexpr const char* exchange_id_header = "X-Exchange-Id";
+
 /// Headers that apply to one connection only and are not forwarded.
-constexpr std::array<std::string_view, 6> connection_headers = {
-    "Connection", "Content-Length", "Host", "Keep-Alive", "Transfer-Encoding", "Upgrade"};
+constexpr std::array<std::string_view, 7> connection_headers = {
+    "Connection",        "Content-Length",  "Host", "Keep-Alive", "Upgrade",
+    "Transfer-Encoding", exchange_id_header};
 
 bool is_connection_header(const std::string& name) {
   const header_name_less less;
@@ -89,10 +94,16 @@
   outgoing.headers["X-Request-Deadline-Ms"] =
       std::to_string(wall_deadline.time_since_epoch().count());
   outgoing.headers["traceparent"] = request.traceparent;
-  return client_.send(std::move(outgoing), left,
-                      [done = std::move(done)](const http_result& result) {
-                        done(response_of(result), result.outcome == http_outcome::interrupted);
-                      });
+  const std::string id = std::to_string(shared_.incarnation) + "-" + std::to_string(++exchanges_);
+  outgoing.headers[exchange_id_header] = id;
+  return client_.send(
+      std::move(outgoing), left,
+      [done = std::move(done)](const http_result& result) {
+        done(response_of(result), result.outcome == http_outcome::interrupted);
+      },
+      [id](const http_response& response, bool new_connection) {
+        return match_by_id(header_value(response.headers, exchange_id_header), id, new_connection);
+      });
 }
 
 void target_client::probe(std::function<void(bool)> done) {
--- a/Source/daemon/target_client.h
+++ b/Source/daemon/target_client.h
@@ -28,6 +28,7 @@
 
  private:
   const daemon_context& shared_;
+  std::uint64_t exchanges_ = 0;  ///< Requests sent so far, which gives each of them its id.
   http_client client_;
   http_client probe_client_;
 };
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -45,18 +45,10 @@
 /// not prove that this request has not run.
 response_match match_target_response(const std::string& repeated_id, const std::string& id,
                                      bool success, bool new_connection) {
-  if (repeated_id == id && !id.empty()) {
-    return response_match::matched;
-  }
-  if (!repeated_id.empty()) {
-    // With several ids it is not certain to which request the response belongs.
-    return repeated_id.find(',') == std::string::npos ? response_match::other_request
-                                                      : response_match::unknown;
-  }
-  if (success && !id.empty()) {
+  if (success && repeated_id.empty() && !id.empty()) {
     return response_match::other_request;
   }
-  return new_connection ? response_match::matched_close : response_match::unknown;
+  return match_by_id(repeated_id, id, new_connection);
 }
 
 }  // namespace
--- a/Source/stand_ins/target_server.cpp
+++ b/Source/stand_ins/target_server.cpp
@@ -37,11 +37,22 @@
   return response;
 }
 
+/// The daemon beside the target puts this header on each request, and a target repeats it.
+constexpr const char* exchange_id_header = "X-Exchange-Id";
+
 std::string header(const http_request& request, const std::string& name) {
   const auto found = request.headers.find(name);
   return found == request.headers.end() ? std::string() : found->second;
 }
 
+void respond(http_exchange& exchange, http_response response) {
+  const std::string id = header(exchange.request(), exchange_id_header);
+  if (!id.empty()) {
+    response.headers[exchange_id_header] = id;
+  }
+  exchange.respond(response);
+}
+
 /// Slots in use from a point in time on.
 struct load_reading {
   time_point at;
@@ -156,10 +167,10 @@
         static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
     if (parse_number(header(request, "X-Request-Deadline-Ms"), deadline) && deadline < now_ms) {
       ++counts.past_deadline;
-      exchange->respond(not_run(504, "the deadline has passed"));
+      respond(*exchange, not_run(504, "the deadline has passed"));
     } else if (running.size() >= static_cast<std::size_t>(options.slots)) {
       ++counts.shed;
-      exchange->respond(not_run(503, "all slots are taken"));
+      respond(*exchange, not_run(503, "all slots are taken"));
     } else {
       start(exchange);
     }
@@ -179,7 +190,7 @@
     position->timer = delayed.after(service_time(), [this, position] {
       const execution finished = *position;
       remove(position);
-      finished.exchange->respond(finished.response);
+      respond(*finished.exchange, finished.response);
     });
     exchange->on_disconnect([this, position] {
       ++counts.cancelled;
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -48,6 +48,18 @@
 
 }  // namespace
 
+response_match match_by_id(const std::string& repeated_id, const std::string& id,
+                           bool new_connection) {
+  if (repeated_id == id && !id.empty()) {
+    return response_match::matched;
+  }
+  if (repeated_id.empty()) {
+    return new_connection ? response_match::matched_close : response_match::unknown;
+  }
+  return repeated_id.find(',') == std::string::npos ? response_match::other_request
+                                                    : response_match::unknown;
+}
+
 namespace detail {
 
 struct http_client_call {
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -54,6 +54,11 @@
 /// `new_connection` says whether the connection has carried no other request.
 using response_filter = std::function<response_match(const http_response&, bool new_connection)>;
 
+/// Decides by the id of the request that a response repeats. Without an id, only the first response
+/// on a connection certainly belongs to the current request; with several ids no response does.
+[[nodiscard]] response_match match_by_id(const std::string& repeated_id, const std::string& id,
+                                         bool new_connection);
+
 /// Properties of all connections of a client.
 struct http_client_options {
   std::size_t connection_limit = 1;  ///< Further requests are queued in order.
