Respond to all accepted requests at the end of a daemon's stop

What callers saw (reported by operators of similar systems, shown here by a test): crocusdoord kept its port for callers open until its process ended and ended 0.2 s after its drain, whatever had arrived meanwhile. Requests that had just been accepted were cut off without a response.

Change: from the start of a drain responses close their connections. After the drain the daemon stops accepting, closes idle connections and ends once no caller's request has been in progress for 0.2 s, at most 2 s later.

Test: 'a stopping daemon responds to each request that it has accepted' sends four requests a millisecond until the port refuses connections.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -11,8 +11,12 @@
 namespace {
 
 constexpr duration review_interval = std::chrono::milliseconds(100);
-/// Delay before the process ends, in which the last responses are sent.
-constexpr duration flush_delay = std::chrono::milliseconds(200);
+/// Interval at which a daemon that has finished its drain checks whether it can end.
+constexpr duration stop_check_interval = std::chrono::milliseconds(20);
+/// When no request has been in progress for this long, the last responses have been sent.
+constexpr duration flush_time = std::chrono::milliseconds(200);
+/// The process ends this long after its drain even if requests are in progress.
+constexpr duration stop_limit = std::chrono::seconds(2);
 
 std::uint64_t start_incarnation() {
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
@@ -291,6 +295,7 @@
   draining_ = true;
   drain_deadline_ = loop_.now() + options_.timing.drain_limit_ms;
   target_->begin_drain();
+  caller_server_->announce_close();
   membership_->set_self_state(instance_state::draining);
   LOG_EVENT(INFO, "drain_started") << field("instance", options_.instance.name);
 }
@@ -307,8 +312,22 @@
   membership_->withdraw([this] { stop(); });
 }
 
+/// Accepts no further connections, and ends the process once the requests that callers have sent
+/// over the accepted ones have their responses.
 void mesh_daemon::stop() {
-  review_timer_ = loop_.after(flush_delay, [this] { loop_.stop(); });
+  caller_server_->stop_accepting();
+  const time_point began = loop_.now();
+  last_busy_at_ = began;
+  review_timer_ = loop_.every(stop_check_interval, [this, began] {
+    const time_point now = loop_.now();
+    caller_server_->close_idle();
+    if (caller_server_->active() > 0) {
+      last_busy_at_ = now;
+    }
+    if (now - last_busy_at_ >= flush_time || now - began >= stop_limit) {
+      loop_.stop();
+    }
+  });
 }
 
 std::string mesh_daemon::render_metrics() {
--- a/Source/daemon/mesh_daemon.h
+++ b/Source/daemon/mesh_daemon.h
@@ -87,6 +87,7 @@
   bool shards_assigned_ = false;
   bool draining_ = false;
   bool stopped_ = false;
+  time_point last_busy_at_{};  ///< When a caller's request was last in progress after the drain.
   time_point drain_deadline_{};
   timer_handle review_timer_;
 };
--- a/Tests/system/drain_test.cpp
+++ b/Tests/system/drain_test.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 
 #include "mesh_under_test.h"
 
@@ -37,6 +39,44 @@
   CHECK(mesh.wait_until([&] { return leaving.daemon->has_ended(); }));
 }
 
+TEST_CASE("a stopping daemon responds to each request that it has accepted", "[P8]") {
+  // Failure guarded against: requests that arrived at the end of a planned stop were cut off
+  // without a response when the process ended.
+  mesh_under_test mesh({"statements", "statements", "statements"}, 20);
+  REQUIRE(mesh.wait_until_in_force(mesh.apply_intents(basic_intents({"statements"}))));
+  REQUIRE(mesh.wait_until_ready());
+  test_instance& leaving = mesh.instance(1);
+  std::vector<std::shared_ptr<outstanding_request>> requests;
+  const auto send_some = [&] {
+    for (int i = 0; i < 4; ++i) {
+      const std::string path = "/statements/" + std::to_string(requests.size());
+      requests.push_back(mesh.start(leaving.caller_port, {"GET", path, {}, {}}));
+    }
+    mesh.run_for(std::chrono::milliseconds(1));
+  };
+  while (requests.size() < 50) {
+    send_some();
+  }
+  leaving.daemon->send_signal(SIGTERM);
+  const auto accepts = [&] {
+    return std::none_of(requests.end() - 4, requests.end(), [](const auto& request) {
+      return request->done && request->result.outcome == http_outcome::not_sent;
+    });
+  };
+  while (accepts()) {
+    send_some();
+  }
+  mesh.wait_for(requests);
+  CHECK(mesh.wait_until([&] { return leaving.daemon->has_ended(); }));
+  std::map<std::string, int> outcomes;
+  for (const auto& request : requests) {
+    ++outcomes[std::string(to_string(request->result.outcome))];
+  }
+  CAPTURE(outcomes["answered"], outcomes["not_sent"]);
+  CHECK(outcomes["interrupted"] == 0);
+  CHECK(outcomes["timed_out"] == 0);
+}
+
 TEST_CASE("no read fails when a daemon is killed", "[P11][F1]") {
   mesh_under_test mesh({"statements", "statements", "statements", "statements"}, 10);
   REQUIRE(mesh.wait_until_in_force(mesh.apply_intents(basic_intents({"statements"}))));
