--- a/Source/link/heartbeat_schedule.cpp
+++ b/Source/link/heartbeat_schedule.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// A link counts as busy for this long after a message of a request; the response to a request takes
-/// about as long.
+/// A link counts as busy for this long after a message of a request; the response to a request
+/// takes about as long.
 constexpr duration busy_time = std::chrono::seconds(1);
 
 }  // namespace
--- a/Source/mesh/version_catch_up.h
+++ b/Source/mesh/version_catch_up.h
@@ -25,8 +25,8 @@
 /// versions do not prolong it, and no step waits for the response to the previous one.
 class version_catch_up {
  public:
-  /// Daemons with different seeds ask different ones of the peers that hold a version. Otherwise all
-  /// daemons that have started at once would ask the first of them.
+  /// Daemons with different seeds ask different ones of the peers that hold a version. Otherwise
+  /// all daemons that have started at once would ask the first of them.
   explicit version_catch_up(std::size_t seed = 0) : peer_steps_(seed) {}
 
   /// A peer has reported that it has this version. Returns true for the first report of a version
--- a/Tests/daemon/peer_mesh_test.cpp
+++ b/Tests/daemon/peer_mesh_test.cpp
@@ -60,8 +60,9 @@
   void connect_another() {
     const sockaddr_in address = loopback(port_);
     connections_.emplace_back();
-    ::connect(connections_.back().descriptor(), reinterpret_cast<const sockaddr*>(&address),
-              sizeof(address));
+    // The connection is not established at once, so the call always reports an error.
+    static_cast<void>(::connect(connections_.back().descriptor(),
+                                reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
   }
   /// Accepts a connection; returns the port of its other end, or 0 if there is none.
   std::uint16_t accept_one() {
