--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "core/error.h"
+#include "transport/loop_time.h"
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
 #include "transport/stream_output.h"
@@ -23,12 +24,6 @@
 /// Maximum reads in one call, so that a peer that sends continuously does not block the loop.
 constexpr int read_count_limit = 64;
 
-timeval to_timeval(duration span) {
-  const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(span);
-  const auto rest = std::chrono::duration_cast<std::chrono::microseconds>(span - seconds);
-  return {seconds.count(), static_cast<suseconds_t>(rest.count())};
-}
-
 }  // namespace
 
 peer_link::peer_link(event_loop& loop, websocket_session::role side, handlers callbacks)
@@ -62,7 +57,7 @@
       bufferevent_socket_connect(link->connection_, reinterpret_cast<const sockaddr*>(&*address),
                                  sizeof(*address)) == 0;
   if (started) {
-    const timeval connect_timeout = to_timeval(timeout);
+    const timeval connect_timeout = detail::to_timeval(timeout);
     bufferevent_set_timeouts(link->connection_, nullptr, &connect_timeout);
   } else {
     link->close("cannot connect to " + to_string(remote));
