--- a/Tests/daemon/peer_mesh_test.cpp
+++ b/Tests/daemon/peer_mesh_test.cpp
@@ -41,8 +41,8 @@
   return address;
 }
 
-/// A port at which connections are not answered, as at a machine without power, until `answer` is
-/// called: its queue of new connections is full.
+/// A port at which connections are not answered, as at a machine without power, because its queue
+/// of new connections is full. `accept_one` makes room in the queue.
 class silent_port {
  public:
   silent_port() {
