Show which lost exchanges stay without a proof and which crash counts fall

target_exchange_failed has the digest now. crocusdoor_lost_exchanges_total counts lost exchanges by what became known of the target, crocusdoor_crash_count_resets_total counts resets by cause. No decision changes.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -58,6 +58,11 @@
                       "Requests that a link had brought when it was lost, by state")),
       target_crashes_(make_family(registry_, "crocusdoor_target_crashes_total",
                                   "Ends of the target with requests in flight by evidence")),
+      lost_exchanges_(
+          make_family(registry_, "crocusdoor_lost_exchanges_total",
+                      "Exchanges lost with their connection to the target, by what became known")),
+      crash_count_resets_(make_family(registry_, "crocusdoor_crash_count_resets_total",
+                                      "Crash counts of requests that were reset, by cause")),
       configuration_offers_(
           make_family(registry_, "crocusdoor_configuration_offers_total",
                       "Configuration versions offered to this instance by result")),
@@ -122,6 +127,14 @@
   target_crashes_->Add({{"evidence", evidence}}).Increment();
 }
 
+void metrics::count_lost_exchanges(const std::string& result, std::size_t exchanges) {
+  lost_exchanges_->Add({{"result", result}}).Increment(static_cast<double>(exchanges));
+}
+
+void metrics::count_crash_count_reset(const std::string& cause) {
+  crash_count_resets_->Add({{"cause", cause}}).Increment();
+}
+
 void metrics::count_configuration_offer(const std::string& result) {
   configuration_offers_->Add({{"result", result}}).Increment();
 }
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -34,6 +34,11 @@
   void count_work_of_lost_link(const std::string& state, std::size_t requests);
   /// Counts an end of the target with requests in flight, by what showed it.
   void count_target_crash(const std::string& evidence);
+  /// Counts exchanges that were lost with their connection to the target, by what became known of
+  /// the target.
+  void count_lost_exchanges(const std::string& result, std::size_t exchanges);
+  /// Counts a crash count of a request that this daemon has reset, by the cause.
+  void count_crash_count_reset(const std::string& cause);
   void count_configuration_offer(const std::string& result);
   /// Counts a step to get a version that a peer has reported and that is newer than the current
   /// one.
@@ -69,6 +74,8 @@
   prometheus::Family<prometheus::Counter>* cancellations_;
   prometheus::Family<prometheus::Counter>* work_of_lost_links_;
   prometheus::Family<prometheus::Counter>* target_crashes_;
+  prometheus::Family<prometheus::Counter>* lost_exchanges_;
+  prometheus::Family<prometheus::Counter>* crash_count_resets_;
   prometheus::Family<prometheus::Counter>* configuration_offers_;
   prometheus::Family<prometheus::Counter>* catch_ups_;
   prometheus::Histogram* configuration_lag_;
--- a/Source/sidecar/crash_count_exchange.cpp
+++ b/Source/sidecar/crash_count_exchange.cpp
@@ -50,6 +50,7 @@
     const auto count = shared_.crashes.reset_if_completed(request, shared_.loop.now());
     if (count.has_value()) {
       reset.push_back(*count);
+      shared_.counters.count_crash_count_reset("completed_before_report");
       shared_.log.info("crash_count_reset",
                        {{"request", request.str()}, {"clearings", count->clearings}});
     }
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -69,6 +69,9 @@
                     },
                     [this](const std::vector<lost_exchange>& in_flight, crash_evidence evidence) {
                       target_ended(in_flight, evidence);
+                    },
+                    [this](std::size_t exchanges, const std::string& reason) {
+                      shared_.counters.count_lost_exchanges(reason, exchanges);
                     }}) {
   silence_timer_ = shared_.loop.every(silence_check_interval, [this] { check_target_silence(); });
 }
@@ -184,6 +187,7 @@
     shared_.log.info(
         "target_exchange_failed",
         {{"request", work_.attempt_id_of(*request)},
+         {"digest", repeated_request_digest(request->call).str()},
          {"end", response.reason},
          {"verdict", std::string(to_string(response.outcome))},
          {"target",
@@ -191,6 +195,9 @@
          {"ran_ms", to_ms(now - *request->started_at)}});
   }
   forget_lost_target(end);
+  if (end == target_exchange::connection_lost && !registry_.takes_requests()) {
+    shared_.counters.count_lost_exchanges("not_watched", 1);
+  }
   if (end == target_exchange::connection_lost && registry_.takes_requests()) {
     // A crash must be known to the peers before the sender of the request tries another target.
     crash_watch_.exchange_lost(
@@ -223,6 +230,7 @@
   }
   const auto& target = registry_.target();
   shared_.counters.count_target_crash(std::string(to_string(evidence)));
+  shared_.counters.count_lost_exchanges(std::string(to_string(evidence)), in_flight.size());
   shared_.log.warning("target_crashed",
                       {{"target", target.has_value() ? target->announcement.id : std::string()},
                        {"evidence", std::string(to_string(evidence))},
@@ -239,6 +247,7 @@
 void inbound_gateway::request_completed(const wire::call& call) {
   const auto count = shared_.crashes.completed(repeated_request_digest(call), shared_.loop.now());
   if (count.has_value()) {
+    shared_.counters.count_crash_count_reset("completed");
     shared_.log.info("crash_count_reset",
                      {{"request", count->request.str()}, {"clearings", count->clearings}});
     callbacks_.crash_counts_changed({*count});
--- a/Source/sidecar/target_crash_watch.cpp
+++ b/Source/sidecar/target_crash_watch.cpp
@@ -46,10 +46,20 @@
   }
 }
 
+void target_crash_watch::forget(const std::string& reason) {
+  const std::size_t forgotten = std::exchange(lost_, {}).size();
+  if (forgotten > 0) {
+    callbacks_.forgotten(forgotten, reason);
+  }
+}
+
 void target_crash_watch::expire() {
-  std::erase_if(lost_, [now = timers_.now()](const lost_exchange& lost) {
+  const auto expired = std::erase_if(lost_, [now = timers_.now()](const lost_exchange& lost) {
     return now - lost.lost_at > restart_window;
   });
+  if (expired > 0) {
+    callbacks_.forgotten(expired, "expired");
+  }
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/target_crash_watch.h
+++ b/Source/sidecar/target_crash_watch.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
 #include <vector>
 
 #include "core/enum_names.h"
@@ -44,6 +45,8 @@
     std::function<probe_handle(std::function<void(probe_result)>)> probe;
     /// The target has ended with these requests in flight.
     std::function<void(const std::vector<lost_exchange>&, crash_evidence)> target_ended;
+    /// This many lost exchanges are not taken for a crash of the target, for this reason.
+    std::function<void(std::size_t, const std::string& reason)> forgotten;
   };
 
   target_crash_watch(timer_service& timers, handlers callbacks);
@@ -53,15 +56,16 @@
   void exchange_lost(lost_exchange lost, std::function<void()> settled);
   /// A response arrived over a connection opened earlier, so the target is still the process that
   /// the exchanges were lost with.
-  void connection_survived() { lost_.clear(); }
+  void connection_survived() { forget("connection_survived"); }
   /// The heartbeat of a later start of the target has arrived.
   void later_start();
   /// The target is leaving; its end is not a crash.
-  void target_leaving() { lost_.clear(); }
+  void target_leaving() { forget("target_leaving"); }
 
  private:
   void probe_ended(probe_result result);
   void report(crash_evidence evidence);
+  void forget(const std::string& reason);
   void expire();
 
   timer_service& timers_;
--- a/Tests/sidecar/target_crash_watch_test.cpp
+++ b/Tests/sidecar/target_crash_watch_test.cpp
@@ -1,8 +1,10 @@
 #include "sidecar/target_crash_watch.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "virtual_timers.h"
 
@@ -20,6 +22,7 @@
   std::vector<std::function<void(probe_result)>> probes;
   std::vector<std::size_t> ends;  ///< Requests in flight at each end of the target.
   std::vector<crash_evidence> evidence;
+  std::map<std::string, std::size_t> forgotten;  ///< Exchanges not taken for a crash, by reason.
   std::size_t settled = 0;
   target_crash_watch watch{
       timers,
@@ -30,6 +33,9 @@
        [this](const std::vector<lost_exchange>& in_flight, crash_evidence seen) {
          ends.push_back(in_flight.size());
          evidence.push_back(seen);
+       },
+       [this](std::size_t exchanges, const std::string& reason) {
+         forgotten[reason] += exchanges;
        }}};
 
   void lose_exchange() {
@@ -68,6 +74,7 @@
       target.timers.run_for(5s);
       target.watch.later_start();
       CHECK(target.ends.empty());
+      CHECK(target.forgotten["expired"] == 2);
     }
     SECTION("and a response over an older connection shows that it is the same process") {
       target.watch.connection_survived();
