Add a failing test of targets whose ends do not show at once

A request that ends each target it reaches is sent every 0.6 s to six sidecars in turn. The address of a target accepts connections for 50 ms after its connections have ended, or until the target has restarted 3 s later, or other requests are lost with it.

--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -19,10 +19,16 @@
 constexpr std::size_t crash_limit = 2;
 const std::string poison_body = "poison";
 
+/// How a target ends. Its connections end at once.
+struct target_end {
+  duration address_open = duration::zero();  ///< How long its address still accepts connections.
+  duration restart_delay = target_restart_delay;  ///< After its connections have ended.
+};
+
 /// Targets that end whenever they begin a request with `poison_body`, and return after a delay.
 class crashing_targets {
  public:
-  explicit crashing_targets(mesh_fixture& mesh) : mesh_(mesh) {
+  explicit crashing_targets(mesh_fixture& mesh, target_end end = {}) : mesh_(mesh), end_(end) {
     for (const auto& instance : mesh.instances) {
       test_instance* const crashing = instance.get();
       crashing->on_request = [this, crashing](const std::shared_ptr<http_exchange>& exchange) {
@@ -39,8 +45,12 @@
   /// Ends a target, which is back after a delay.
   void crash(test_instance& instance) {
     crashed_at.push_back(mesh_.loop.now());
-    mesh_.loop.post([&instance] { instance.crash_target(); });
-    timers_.push_back(mesh_.loop.after(target_restart_delay, [this, &instance] {
+    if (end_.address_open > duration::zero()) {
+      mesh_.loop.post([&instance] { instance.crash_target_keeping_its_address_open(); });
+    }
+    timers_.push_back(
+        mesh_.loop.after(end_.address_open, [&instance] { instance.crash_target(); }));
+    timers_.push_back(mesh_.loop.after(end_.restart_delay, [this, &instance] {
       instance.restart_target();
       returned_.push_back(&instance);
     }));
@@ -70,32 +80,86 @@
 
  private:
   mesh_fixture& mesh_;
+  target_end end_;
   bool crash_next_ = false;
   std::vector<std::shared_ptr<http_exchange>> unanswered_;
   std::vector<test_instance*> returned_;
   std::vector<timer_handle> timers_;
 };
 
-/// Sends the poison request at each origin in turn until some time after the third crash.
-void resend(mesh_fixture& mesh, crashing_targets& targets, const std::string& path) {
-  const time_point end = mesh.loop.now() + 2 * contact_time;
+/// Sends the poison request at each origin in turn for `length`.
+void resend(mesh_fixture& mesh, crashing_targets& targets, const std::string& path,
+            duration interval, duration length) {
+  const time_point end = mesh.loop.now() + length;
   for (std::size_t sent = 0; mesh.loop.now() < end; ++sent) {
     test_instance& origin = *mesh.instances[sent % mesh.instances.size()];
     mesh.call(origin, "POST", path, poison_body);
-    mesh.run_for(resend_interval, [] { return false; });
+    mesh.run_for(interval, [] { return false; });
     targets.announce_returned();
   }
 }
 
-/// Starts three instances of the service to which the routes lead.
-void start_three_instances(mesh_fixture& mesh) {
-  for (const char* name : {"a1", "a2", "a3"}) {
-    mesh.add(name, "s");
+/// Sends the poison request at each origin in turn until some time after the third crash.
+void resend(mesh_fixture& mesh, crashing_targets& targets, const std::string& path) {
+  resend(mesh, targets, path, resend_interval, 2 * contact_time);
+}
+
+/// Starts instances of the service to which the routes lead.
+void start_instances(mesh_fixture& mesh, std::size_t count) {
+  for (std::size_t number = 1; number <= count; ++number) {
+    mesh.add("a" + std::to_string(number), "s");
   }
   mesh.configure(1, "s");
   mesh.start();
 }
 
+void start_three_instances(mesh_fixture& mesh) {
+  start_instances(mesh, 3);
+}
+
+/// Callers that send other requests, a number of them at a time, and the targets' responses to
+/// them, which take a while.
+class other_requests {
+ public:
+  other_requests(mesh_fixture& mesh, std::size_t at_a_time) : mesh_(mesh) {
+    for (const auto& instance : mesh.instances) {
+      const test_instance::behaviour crash_or_respond = instance->on_request;
+      instance->on_request = [this, crash_or_respond](const auto& exchange) {
+        if (exchange->request().body == poison_body) {
+          crash_or_respond(exchange);
+          return;
+        }
+        timers_.push_back(mesh_.loop.after(
+            response_time, [crash_or_respond, exchange] { crash_or_respond(exchange); }));
+      };
+    }
+    for (std::size_t caller = 0; caller < at_a_time; ++caller) {
+      send(*mesh.instances[caller % mesh.instances.size()]);
+    }
+  }
+
+ private:
+  static constexpr duration response_time = milliseconds(50);
+  static constexpr duration pause = milliseconds(20);
+
+  void send(test_instance& origin) {
+    const std::string number = std::to_string(++sent_);
+    const auto send_next = [this, &origin](const http_result&) {
+      timers_.push_back(mesh_.loop.after(pause, [this, &origin] { send(origin); }));
+    };
+    origin.caller->send(
+        {"GET",
+         "/safe/other-" + number,
+         {{"Host", "h.example"}, {"X-Attempt-Id", "other-" + number}, {"X-Deadline-Ms", "2000"}},
+         ""},
+        seconds(3), send_next);
+  }
+
+  mesh_fixture& mesh_;
+  std::size_t sent_ = 0;
+  std::vector<timer_handle> timers_;
+};
+
 }  // namespace
 
 TEST_CASE("a request that crashes each target it reaches is not sent to targets without end",
@@ -116,6 +180,31 @@
   }
 }
 
+TEST_CASE("a request is stopped although the ends of its targets do not show at once",
+          "[sidecar][F6]") {
+  constexpr duration interval = milliseconds(600);
+  constexpr duration length = seconds(12);
+  mesh_fixture mesh;
+  start_instances(mesh, 6);
+
+  SECTION("because their addresses accept connections for another instant") {
+    crashing_targets targets(mesh, {milliseconds(50), seconds(3)});
+    resend(mesh, targets, "/once/1", interval, length);
+    CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+  }
+  SECTION("because their addresses accept connections until they have restarted") {
+    crashing_targets targets(mesh, {seconds(3), seconds(3)});
+    resend(mesh, targets, "/safe/1", interval, length);
+    CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+  }
+  SECTION("while other requests are running, which are lost with it") {
+    crashing_targets targets(mesh, {milliseconds(50), seconds(2)});
+    const other_requests others(mesh, 18);
+    resend(mesh, targets, "/once/1", interval, length);
+    CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+  }
+}
+
 TEST_CASE("a request that has crashed two targets", "[sidecar][F6]") {
   mesh_fixture mesh;
   start_three_instances(mesh);
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -130,11 +130,24 @@
                                          });
 }
 
+void test_instance::listen_without_responding(std::uint16_t port) {
+  target = std::make_unique<http_server>(
+      loop_, local(port),
+      [this](const std::shared_ptr<http_exchange>& exchange) { unanswered_.push_back(exchange); });
+}
+
 void test_instance::crash_target() {
+  unanswered_.clear();
   target = nullptr;
 }
 
+void test_instance::crash_target_keeping_its_address_open() {
+  crash_target();
+  listen_without_responding(options_.target.endpoint.port);
+}
+
 void test_instance::restart_target() {
+  crash_target();
   listen_as_target(options_.target.endpoint.port);
   ++born_ms_;
   sequence_ = 0;
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -66,6 +66,8 @@
   void restart_daemon();
   /// Ends the target with all its connections and refuses new ones.
   void crash_target();
+  /// Ends the target with all its connections. Its address accepts new ones, which get no response.
+  void crash_target_keeping_its_address_open();
   /// Starts the target again at the same address after a crash. Its heartbeats state a later start.
   void restart_target();
   [[nodiscard]] std::uint16_t callers_port() const { return options_.listen.callers.port; }
@@ -84,10 +86,13 @@
 
  private:
   void listen_as_target(std::uint16_t port);
+  /// Listens at the target's address without responding.
+  void listen_without_responding(std::uint16_t port);
 
   event_loop& loop_;
   store_contents& contents_;
   sidecar_settings options_;
+  std::vector<std::shared_ptr<http_exchange>> unanswered_;
   std::uint64_t sequence_ = 0;
   std::uint64_t born_ms_ = 1'700'000'000'000U;  ///< Start of the target, in its heartbeats.
 };
