Keep a lost exchange open until something settles it

A crash counted only with a proof, and the proof was looked for once, right after the loss; 2 s later the exchange was forgotten, while targets are back after 3 s. An address that accepts connections for another instant, a supervisor that holds it open, or a target that another request had already found gone left the end unproved and uncounted.

A lost exchange now stays open until the address refuses connections, a heartbeat of a later start arrives however late, or the target shows that it has survived: a connection opened before the loss or a heartbeat of the same start a second after it, or its departure. The address is probed every 25 ms while the response is held (100 ms at most, as before) and then every 500 ms. Without any sign of life after 100 ms the loss counts as a crash in the meantime; the count is taken back if the target turns out to have survived. A response over a reused connection no longer proves that: the connection may have been opened after a restart.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -62,17 +62,21 @@
              [this](std::uint64_t ticket) { cancel_exchange(ticket); }, callbacks_.send_response}),
       target_(shared.loop, shared.options.target.endpoint, target_client_options()),
       prober_(shared.loop, shared.options.target.endpoint, {}),
-      crash_watch_(shared.loop,
-                   {[this](std::function<void(probe_result)> done) {
-                      return probe_connection(shared_.loop, shared_.options.target.endpoint,
-                                              connection_probe_timeout, std::move(done));
-                    },
-                    [this](const std::vector<lost_exchange>& in_flight, crash_evidence evidence) {
-                      target_ended(in_flight, evidence);
-                    },
-                    [this](std::size_t exchanges, const std::string& reason) {
-                      shared_.counters.count_lost_exchanges(reason, exchanges);
-                    }}) {
+      crash_reporter_(shared, callbacks_.crash_counts_changed),
+      crash_watch_(
+          shared.loop,
+          {[this](std::function<void(probe_result)> done) {
+             return probe_connection(shared_.loop, shared_.options.target.endpoint,
+                                     connection_probe_timeout, std::move(done));
+           },
+           [this] { return target_.oldest_connection(); },
+           [this](const lost_exchanges& lost) { crash_reporter_.suspected(target_id(), lost); },
+           [this](const lost_exchanges& lost, crash_evidence evidence) {
+             target_ended(lost, evidence);
+           },
+           [this](const lost_exchanges& lost, survival_evidence evidence) {
+             crash_reporter_.survived(target_id(), lost, evidence);
+           }}) {
   silence_timer_ = shared_.loop.every(silence_check_interval, [this] { check_target_silence(); });
 }
 
@@ -118,7 +122,8 @@
   const http_call call = target_.send(
       outgoing_request(*request), request->deadline - shared_.loop.now() + response_grace_time,
       [this, request](const http_result& result) { exchange_ended(request, result); }, filter);
-  exchanges_[request->ticket] = {call, known_crashes(request->call)};
+  exchanges_[request->ticket] = {call, known_crashes(request->call),
+                                 registry_.target()->announcement.born_ms};
 }
 
 void inbound_gateway::cancel_exchange(std::uint64_t ticket) {
@@ -159,7 +164,7 @@
 
 void inbound_gateway::exchange_ended(const inbound_request_pointer& request,
                                      const http_result& result) {
-  const crash_count known = std::exchange(exchanges_[request->ticket], {}).known;
+  const running_exchange ended = std::exchange(exchanges_[request->ticket], {});
   exchanges_.erase(request->ticket);
   const target_exchange end = classify(result);
   const exchange_proof proof = proof_of(end);
@@ -170,9 +175,6 @@
   response.ran_us = (now - *request->started_at).count();
   if (result.outcome == http_outcome::answered) {
     last_seen_at_ = now;
-    if (!result.new_connection) {
-      crash_watch_.connection_survived();
-    }
   }
   if (proof.deliverable) {
     if (result.response.headers.contains(shared_.contract.headers.seal)) {
@@ -184,24 +186,20 @@
     response.body.bytes = result.response.body;
   } else {
     response.reason = std::string(to_string(end));
-    shared_.log.info(
-        "target_exchange_failed",
-        {{"request", work_.attempt_id_of(*request)},
-         {"digest", repeated_request_digest(request->call).str()},
-         {"end", response.reason},
-         {"verdict", std::string(to_string(response.outcome))},
-         {"target",
-          registry_.target().has_value() ? registry_.target()->announcement.id : std::string()},
-         {"ran_ms", to_ms(now - *request->started_at)}});
+    shared_.log.info("target_exchange_failed",
+                     {{"request", work_.attempt_id_of(*request)},
+                      {"digest", repeated_request_digest(request->call).str()},
+                      {"end", response.reason},
+                      {"verdict", std::string(to_string(response.outcome))},
+                      {"target", target_id()},
+                      {"ran_ms", to_ms(now - *request->started_at)}});
   }
   forget_lost_target(end);
-  if (end == target_exchange::connection_lost && !registry_.takes_requests()) {
-    shared_.counters.count_lost_exchanges("not_watched", 1);
-  }
-  if (end == target_exchange::connection_lost && registry_.takes_requests()) {
+  const bool leaving = registry_.target().has_value() && registry_.target()->leaving;
+  if (end == target_exchange::connection_lost && !leaving) {
     // A crash must be known to the peers before the sender of the request tries another target.
     crash_watch_.exchange_lost(
-        {repeated_request_digest(request->call), known, now},
+        {repeated_request_digest(request->call), ended.known, ended.target_start, now},
         [this, request, response] { work_.finish(request, response, true); });
     return;
   }
@@ -217,33 +215,18 @@
   }
 }
 
-void inbound_gateway::target_ended(const std::vector<lost_exchange>& in_flight,
-                                   crash_evidence evidence) {
-  std::vector<std::string> requests;
-  std::vector<crash_count> changed;
-  for (const lost_exchange& lost : in_flight) {
-    requests.push_back(lost.request.str());
-    const auto count = shared_.crashes.crashed(lost.request, lost.known, shared_.loop.now());
-    if (count.has_value()) {
-      changed.push_back(*count);
-    }
-  }
-  const auto& target = registry_.target();
-  shared_.counters.count_target_crash(std::string(to_string(evidence)));
-  shared_.counters.count_lost_exchanges(std::string(to_string(evidence)), in_flight.size());
-  shared_.log.warning("target_crashed",
-                      {{"target", target.has_value() ? target->announcement.id : std::string()},
-                       {"evidence", std::string(to_string(evidence))},
-                       {"in_flight", in_flight.size()},
-                       {"requests", requests},
-                       {"refused", shared_.crashes.refused(shared_.loop.now())}});
-  callbacks_.crash_counts_changed(changed);
-  if (evidence == crash_evidence::connection_refused && target.has_value()) {
-    registry_.forget(target->announcement.id);
+void inbound_gateway::target_ended(const lost_exchanges& lost, crash_evidence evidence) {
+  crash_reporter_.ended(target_id(), lost, evidence);
+  if (evidence == crash_evidence::connection_refused && registry_.target().has_value()) {
+    registry_.forget(target_id());
     target_changed();
   }
 }
 
+std::string inbound_gateway::target_id() const {
+  return registry_.target().has_value() ? registry_.target()->announcement.id : std::string();
+}
+
 void inbound_gateway::request_completed(const wire::call& call) {
   const auto count = shared_.crashes.completed(repeated_request_digest(call), shared_.loop.now());
   if (count.has_value()) {
@@ -255,11 +238,9 @@
 }
 
 announcement_result inbound_gateway::announce(const target_announcement& announcement) {
-  const std::optional<registered_target> before = registry_.target();
   const announcement_result result = registry_.announce(announcement, shared_.loop.now());
-  if (result == announcement_result::accepted && before.has_value() && !before->leaving &&
-      announcement.born_ms > before->announcement.born_ms) {
-    crash_watch_.later_start();
+  if (result == announcement_result::accepted) {
+    crash_watch_.heartbeat_received(announcement.born_ms);
   }
   if (result != announcement_result::outdated) {
     last_seen_at_ = shared_.loop.now();
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -8,6 +8,7 @@
 #include "mesh/route_table.h"
 #include "mesh/target_exchange.h"
 #include "mesh/target_registry.h"
+#include "sidecar/crash_reporter.h"
 #include "sidecar/inbound_work.h"
 #include "sidecar/sidecar_context.h"
 #include "sidecar/target_crash_watch.h"
@@ -53,7 +54,8 @@
   /// A request that runs on the target.
   struct running_exchange {
     http_call call;
-    crash_count known;  ///< Count of the request when it began to run.
+    crash_count known;               ///< Count of the request when it began to run.
+    std::uint64_t target_start = 0;  ///< `born_ms` of the target; 0 if it is not known.
   };
 
   [[nodiscard]] inbound_refusal check(const wire::call& call) const;
@@ -66,7 +68,9 @@
   void forget_lost_target(target_exchange end);
   /// Resets the crash count of a request that the target has run to its end.
   void request_completed(const wire::call& call);
-  void target_ended(const std::vector<lost_exchange>& in_flight, crash_evidence evidence);
+  void target_ended(const lost_exchanges& lost, crash_evidence evidence);
+  /// Id of the registered target; empty if there is none.
+  [[nodiscard]] std::string target_id() const;
   void target_changed();
   void report_departure();
   void check_target_silence();
@@ -77,6 +81,7 @@
   inbound_work work_;
   http_client target_;
   http_client prober_;
+  crash_reporter crash_reporter_;
   target_crash_watch crash_watch_;
   std::map<std::uint64_t, running_exchange> exchanges_;  ///< Exchanges with the target, by ticket.
   bool takes_requests_ = false;
--- a/Source/sidecar/target_crash_watch.h
+++ b/Source/sidecar/target_crash_watch.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
-#include <string>
+#include <optional>
 #include <vector>
 
 #include "core/enum_names.h"
@@ -16,10 +17,15 @@
 /// A request whose connection to the target ended before the response.
 struct lost_exchange {
   digest request;
-  crash_count known;  ///< Count of the request when it began to run.
-  time_point lost_at;
+  crash_count known;               ///< Count of the request when it began to run.
+  std::uint64_t target_start = 0;  ///< `born_ms` of the target that ran it; 0 if it is not known.
+  time_point lost_at{};
+  bool suspected = false;  ///< Whether it has been reported as a possible crash.
+  friend bool operator==(const lost_exchange&, const lost_exchange&) = default;
 };
 
+using lost_exchanges = std::vector<lost_exchange>;
+
 /// What shows that the target has ended.
 enum class crash_evidence {
   connection_refused,  ///< Nobody listens at its address.
@@ -34,44 +40,80 @@
   });
 };
 
+/// What shows that the target has survived the loss of a connection.
+enum class survival_evidence {
+  older_connection,  ///< A connection opened before the loss is still open.
+  heartbeat,         ///< A heartbeat of the same start has arrived.
+  leaving,           ///< The target has announced its departure; its end is planned.
+};
+
+template <>
+struct enum_names<survival_evidence> {
+  static constexpr auto names = make_enum_names<survival_evidence>({
+      {survival_evidence::older_connection, "older_connection"},
+      {survival_evidence::heartbeat, "heartbeat"},
+      {survival_evidence::leaving, "leaving"},
+  });
+};
+
 /// Finds out whether the target beside this daemon has ended with requests in flight.
 ///
-/// A lost connection does not prove that: the target may have reset only this connection. The proof
-/// is that nobody listens at its address right afterwards, or a heartbeat of a later start.
+/// A lost connection does not prove that: the target may have reset only this connection. A lost
+/// exchange stays open until something settles it, however late: nobody listens at the target's
+/// address, a heartbeat of a later start arrives, or the target shows that it has survived. If it
+/// shows no sign of life soon after the loss, the exchange counts as a possible crash in the
+/// meantime, because the caller repeats the request elsewhere before the proof arrives.
 class target_crash_watch {
  public:
   struct handlers {
     /// Opens a connection to the target and reports the result.
     std::function<probe_handle(std::function<void(probe_result)>)> probe;
+    /// When the oldest of the connections to the target that are open was opened.
+    std::function<std::optional<time_point>()> oldest_connection;
+    /// The target may have ended with these requests in flight.
+    std::function<void(const lost_exchanges&)> suspected;
     /// The target has ended with these requests in flight.
-    std::function<void(const std::vector<lost_exchange>&, crash_evidence)> target_ended;
-    /// This many lost exchanges are not taken for a crash of the target, for this reason.
-    std::function<void(std::size_t, const std::string& reason)> forgotten;
+    std::function<void(const lost_exchanges&, crash_evidence)> ended;
+    /// The target has survived the loss of these exchanges.
+    std::function<void(const lost_exchanges&, survival_evidence)> survived;
   };
 
   target_crash_watch(timer_service& timers, handlers callbacks);
 
-  /// `settled` is called when it is known whether the target has ended or when the probe has given
-  /// up, after `target_ended`.
-  void exchange_lost(lost_exchange lost, std::function<void()> settled);
-  /// A response arrived over a connection opened earlier, so the target is still the process that
-  /// the exchanges were lost with.
-  void connection_survived() { forget("connection_survived"); }
-  /// The heartbeat of a later start of the target has arrived.
-  void later_start();
+  /// `release` is called when it is known whether the target may have ended, 100 ms after the loss
+  /// at the latest, and after the handler that reports it.
+  void exchange_lost(lost_exchange lost, std::function<void()> release);
+  /// The newest heartbeat of the target has arrived.
+  void heartbeat_received(std::uint64_t target_start);
   /// The target is leaving; its end is not a crash.
-  void target_leaving() { forget("target_leaving"); }
+  void target_leaving();
 
  private:
+  struct open_exchange {
+    lost_exchange lost;
+    std::function<void()> release;  ///< Empty once it has been called.
+  };
+
+  using exchange_filter = std::function<bool(const lost_exchange&)>;
+
+  void probe();
   void probe_ended(probe_result result);
-  void report(crash_evidence evidence);
-  void forget(const std::string& reason);
-  void expire();
+  void check();
+  void schedule_check();
+  /// Releases the exchanges that need not wait any longer and reports those without a sign of life.
+  void release_held();
+  /// Removes the exchanges that match, reports them and releases those that are held.
+  void settle(const exchange_filter& matches,
+              const std::function<void(const lost_exchanges&)>& report);
+  void settle_ended(const exchange_filter& matches, crash_evidence evidence);
+  void settle_survived(const exchange_filter& matches, survival_evidence evidence);
+  [[nodiscard]] bool any_held() const;
 
   timer_service& timers_;
   handlers callbacks_;
-  std::vector<lost_exchange> lost_;
-  std::vector<std::function<void()>> waiting_;  ///< Called when the running probe has ended.
+  std::vector<open_exchange> open_;
+  timer_handle check_timer_;
+  bool checks_soon_ = false;  ///< Whether the timer runs at the interval for held responses.
   bool probe_running_ = false;
   probe_handle probe_;
 };
--- a/Source/suspicion/crash_counts.cpp
+++ b/Source/suspicion/crash_counts.cpp
@@ -26,6 +26,16 @@
   return merge(next, now) ? std::optional(next) : std::nullopt;
 }
 
+std::optional<crash_count> crash_counts::retract(const digest& request, const crash_count& known,
+                                                 time_point now) {
+  const crash_count current = count(request);
+  if (current.clearings != known.clearings || current.crashes <= known.crashes) {
+    return std::nullopt;
+  }
+  const crash_count next{request, current.clearings + 1, current.crashes - 1};
+  return merge(next, now) ? std::optional(next) : std::nullopt;
+}
+
 std::optional<crash_count> crash_counts::completed(const digest& request, time_point now) {
   if (completions_.size() < limits_.completions || completions_.contains(request)) {
     completions_[request] = now;
--- a/Source/suspicion/crash_counts.h
+++ b/Source/suspicion/crash_counts.h
@@ -18,7 +18,7 @@
 /// How often a request has crashed its targets, one after the other, since it last completed.
 struct crash_count {
   digest request;               ///< Digest of what stays the same when a caller repeats it.
-  std::uint64_t clearings = 0;  ///< Completed runs that have reset `crashes` to 0.
+  std::uint64_t clearings = 0;  ///< How often `crashes` has been reset or reduced.
   std::int32_t crashes = 0;     ///< Crashes of which each run began after the one before was known.
   friend bool operator==(const crash_count&, const crash_count&) = default;
 };
@@ -59,6 +59,10 @@
   /// count to send to the peers if it has changed.
   std::optional<crash_count> crashed(const digest& request, const crash_count& known,
                                      time_point now);
+  /// A run that began when the count was `known` was reported as a crash, but the target has
+  /// survived. Returns the count to send to the peers if it has changed.
+  std::optional<crash_count> retract(const digest& request, const crash_count& known,
+                                     time_point now);
   /// A request completed on a target. Returns the count to send to the peers if it has changed.
   std::optional<crash_count> completed(const digest& request, time_point now);
   /// Resets the count of a request that completed on this daemon's target a short time ago. Call
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -128,7 +128,7 @@
     call_ = call;
     call->connection = weak_from_this();
     reader_.emplace(call->request.method, size_limits());
-    if (established_) {
+    if (established_at_.has_value()) {
       write_call();
     }
   }
@@ -147,16 +147,24 @@
   /// Whether an idle connection can be used for another request: the server has neither closed it
   /// nor sent unsolicited bytes, and is not about to close it.
   [[nodiscard]] bool reusable(time_point now) const {
-    if (!established_ || unusable_ || now - idle_since_ >= idle_limit_ - idle_margin) {
-      return false;
-    }
+    return established_at_.has_value() && !unusable_ &&
+           now - idle_since_ < idle_limit_ - idle_margin && open_and_read();
+  }
+
+  /// When the connection was established; empty if it is not established or no longer open.
+  [[nodiscard]] std::optional<time_point> open_since() const {
+    return established_at_.has_value() && open_and_read() ? established_at_ : std::nullopt;
+  }
+
+ private:
+  /// Whether the server has not closed the connection and all its bytes have been read.
+  [[nodiscard]] bool open_and_read() const {
     char byte = 0;
     const ssize_t received =
         ::recv(bufferevent_getfd(stream_), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
- private:
   [[nodiscard]] http_size_limits size_limits() const {
     const auto client = client_.lock();
     return client == nullptr ? http_size_limits{} : client->options.size;
@@ -173,7 +181,9 @@
   }
 
   void connected() {
-    established_ = true;
+    if (const auto client = client_.lock()) {
+      established_at_ = client->loop.now();
+    }
     set_connection_options(bufferevent_getfd(stream_));
     bufferevent_set_timeouts(stream_, nullptr, nullptr);
     if (call_ != nullptr) {
@@ -309,7 +319,7 @@
   std::optional<http_response_reader> reader_;
   std::string input_;
   time_point idle_since_{};
-  bool established_ = false;
+  std::optional<time_point> established_at_;
   bool request_written_ = false;
   bool reused_ = false;
   bool unusable_ = false;
@@ -439,6 +449,17 @@
   }
 }
 
+std::optional<time_point> http_client::oldest_connection() const {
+  std::optional<time_point> oldest;
+  for (const detail::connection_pointer& connection : state_->connections) {
+    const std::optional<time_point> since = connection->open_since();
+    if (since.has_value() && (!oldest.has_value() || *since < *oldest)) {
+      oldest = since;
+    }
+  }
+  return oldest;
+}
+
 std::uint64_t http_client::connections_opened() const noexcept {
   return state_->opened;
 }
--- a/Tests/scripted_server.h
+++ b/Tests/scripted_server.h
@@ -44,6 +44,8 @@
         stream_ = nullptr;
       }
     }
+    /// Ends the server's direction of the connection at once, while `close` may wait for the loop.
+    void shut_down() { ::shutdown(bufferevent_getfd(stream_), SHUT_WR); }
     /// Closes the connection with a TCP reset.
     void reset() {
       const linger discard{1, 0};
--- a/Tests/suspicion/crash_counts_model_test.cpp
+++ b/Tests/suspicion/crash_counts_model_test.cpp
@@ -20,6 +20,10 @@
 constexpr duration contact_time = 3s;
 constexpr std::size_t sends_after_contact_limit = 3;
 constexpr int attempt_limit = 2;
+/// One in this many runs loses its connection while its target survives.
+constexpr std::size_t runs_per_reset = 30;
+/// A target whose only connection is lost shows a sign of life after this time at most.
+constexpr duration survival_shown_limit = 2500ms;
 const digest poison = digest_of("poison");
 const digest popular = digest_of("popular");
 
@@ -139,11 +143,18 @@
       if (running.starts != process) {
         return;
       }
-      if (running.target_starts == target_start && running.target_up) {
+      const bool survived = running.target_starts == target_start && running.target_up;
+      if (survived && random_.index(runs_per_reset) > 0) {
         if (const auto count = running.counts.completed(request, timers_.now())) {
           broadcast(target, *count);
         }
-      } else if (const auto count = running.counts.crashed(request, known, timers_.now())) {
+        return;
+      }
+      if (survived) {
+        timers_.post(random_.up_to(survival_shown_limit),
+                     [=, this] { retract(request, target, process, known); });
+      }
+      if (const auto count = running.counts.crashed(request, known, timers_.now())) {
         broadcast(target, *count);
         deliver(origin, [=, this](daemon& sender) {
           sender.counts.merge(*count, timers_.now());
@@ -153,6 +164,17 @@
     });
   }
 
+  /// A target whose lost connection counted as a possible crash has shown a sign of life.
+  void retract(const digest& request, std::size_t target, int process, const crash_count& known) {
+    daemon& running = *daemons_[target];
+    if (running.starts != process) {
+      return;
+    }
+    if (const auto count = running.counts.retract(request, known, timers_.now())) {
+      broadcast(target, *count);
+    }
+  }
+
   void crash(std::size_t index) {
     daemons_[index]->target_up = false;
     timers_.post(2s, [this, index] {
@@ -193,8 +215,8 @@
 }  // namespace
 
 TEST_CASE(
-    "a poison request is stopped and a popular one is not, while targets crash and daemons "
-    "restart",
+    "a poison request is stopped and a popular one is not, while targets crash, connections are "
+    "reset and daemons restart",
     "[F6]") {
   for (std::uint64_t seed = 1; seed <= scenario_count; ++seed) {
     crashing_fleet fleet(seed);
--- a/Tests/suspicion/crash_counts_test.cpp
+++ b/Tests/suspicion/crash_counts_test.cpp
@@ -85,6 +85,40 @@
   }
 }
 
+TEST_CASE("a crash that was only suspected is taken back when the target has survived", "[F6]") {
+  crash_counts counts;
+  const crash_count known = counts.count(popular);
+  REQUIRE(counts.crashed(popular, known, start).has_value());
+
+  SECTION("so that the request is counted as before") {
+    CHECK(counts.retract(popular, known, start + 1s).has_value());
+    CHECK(counts.count(popular).crashes == 0);
+    CHECK_FALSE(counts.retract(popular, known, start + 1s).has_value());
+  }
+  SECTION("and a crash that followed still counts") {
+    counts.crashed(popular, counts.count(popular), start + 1s);
+    REQUIRE(counts.refusal_left(popular, start + 1s) > duration::zero());
+    CHECK(counts.retract(popular, known, start + 2s).has_value());
+    CHECK(counts.count(popular).crashes == 1);
+    CHECK(counts.refusal_left(popular, start + 2s) == duration::zero());
+  }
+  SECTION("but crashes counted after the request has completed are not affected") {
+    counts.completed(popular, start);
+    const crash_count later = counts.count(popular);
+    counts.crashed(popular, later, start + 10s);
+    CHECK_FALSE(counts.retract(popular, known, start + 11s).has_value());
+    CHECK(counts.count(popular).crashes == 1);
+  }
+  SECTION("also at a daemon that hears of both in the wrong order") {
+    const crash_count suspected = counts.count(popular);
+    const auto retracted = counts.retract(popular, known, start + 1s);
+    crash_counts peer;
+    CHECK(peer.merge(*retracted, start + 1s));
+    CHECK_FALSE(peer.merge(suspected, start + 1s));
+    CHECK(peer.count(popular).crashes == 0);
+  }
+}
+
 TEST_CASE("daemons that receive the same crash counts in any order agree", "[F6]") {
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     random_source random(seed);
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -138,6 +138,32 @@
   }
 }
 
+TEST_CASE("a client tells how long one of its connections has been open", "[F6]") {
+  event_loop loop;
+  std::vector<scripted_server::connection*> accepted;
+  scripted_server server(loop, 0, [&](scripted_server::connection& stream, const std::string&) {
+    accepted.push_back(&stream);
+    stream.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  });
+  http_client client(loop, {"127.0.0.1", server.port()}, {});
+  CHECK_FALSE(client.oldest_connection().has_value());
+  const time_point begin = loop.now();
+  client.send({"GET", "/", {}, {}}, std::chrono::seconds(10),
+              [&](const http_result&) { loop.stop(); });
+  loop.run();
+  REQUIRE(client.oldest_connection().has_value());
+  CHECK(*client.oldest_connection() >= begin);
+
+  SECTION("until the server closes it, also before the client has handled that") {
+    accepted.at(0)->shut_down();
+    CHECK_FALSE(client.oldest_connection().has_value());
+  }
+  SECTION("until unread bytes may hide its end") {
+    accepted.at(0)->write("x");
+    CHECK_FALSE(client.oldest_connection().has_value());
+  }
+}
+
 TEST_CASE("a client closes the connection to a server that sends without end", "[F12]") {
   const std::string status = "HTTP/1.1 200 OK\r\n";
   const std::string other_response = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
