Keep the refused requests in the platform's store

In a test of three sidecars the request ended 4 targets in place of 2, two more with each restart of all.

A daemon that starts reads them from the listing that it reads anyway, so no call is added at a start. The entries of other daemons and odd elements of other writers stay readable.

"is refused also after all daemons have restarted at once" failed before: 502 and 4 ends, wanted 503 and 2.

--- a/Source/sidecar/crash_count_exchange.cpp
+++ b/Source/sidecar/crash_count_exchange.cpp
@@ -14,12 +14,15 @@
 }  // namespace
 
 crash_count_exchange::crash_count_exchange(
-    const sidecar_context& shared, std::function<void(const std::vector<crash_count>&)> send_to_all)
-    : shared_(shared), send_to_all_(std::move(send_to_all)) {}
+    const sidecar_context& shared, mesh_store& store,
+    std::function<void(const std::vector<crash_count>&)> send_to_all)
+    : shared_(shared), send_to_all_(std::move(send_to_all)), archive_(shared, store) {}
 
 void crash_count_exchange::start() {
-  expiry_timer_ =
-      shared_.loop.every(expiry_interval, [this] { shared_.crashes.expire(shared_.loop.now()); });
+  expiry_timer_ = shared_.loop.every(expiry_interval, [this] {
+    shared_.crashes.expire(shared_.loop.now());
+    archive_.update();
+  });
 }
 
 void crash_count_exchange::received(const instance_name& from,
@@ -59,9 +62,17 @@
   reset_timer_ = nullptr;
 }
 
-void crash_count_exchange::changed(const std::vector<crash_count>& counts) const {
+void crash_count_exchange::changed(const std::vector<crash_count>& counts) {
   if (!counts.empty()) {
     send_to_all_(counts);
+    archive_.changed(counts);
+  }
+}
+
+void crash_count_exchange::restore(const std::vector<daemon_entry>& entries) {
+  const std::vector<crash_count> restored = archive_.restore(entries);
+  if (!restored.empty()) {
+    send_to_all_(restored);
   }
 }
 
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/peer_finder.h"
 
+#include <utility>
+
 namespace crocusdoor {
 
 namespace {
@@ -12,15 +14,16 @@
 
 }  // namespace
 
-peer_finder::peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh)
-    : shared_(shared), store_(store), mesh_(mesh) {}
+peer_finder::peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh,
+                         listing_handler first_listed)
+    : shared_(shared), store_(store), mesh_(mesh), first_listed_(std::move(first_listed)) {}
 
 void peer_finder::start() {
   announce();
 }
 
 void peer_finder::announce() {
-  const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers)};
+  const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers), {}};
   store_.announce_daemon(entry, [this](store_outcome outcome) {
     if (outcome == store_outcome::done) {
       shared_.start.reached(start_phase::entry_stored);
@@ -57,6 +60,7 @@
   }
   if (!listed_) {
     shared_.log.info("daemons_listed", {{"daemons", endpoints_.size()}});
+    first_listed_(listing.daemons);
   }
   listed_ = true;
   shared_.start.reached(start_phase::peers_listed);
--- a/Source/sidecar/peer_finder.h
+++ b/Source/sidecar/peer_finder.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <map>
+#include <vector>
 
 #include "daemon/peer_mesh.h"
 #include "sidecar/sidecar_context.h"
@@ -14,7 +16,11 @@
 /// the same time at least one finds the other.
 class peer_finder {
  public:
-  peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh);
+  using listing_handler = std::function<void(const std::vector<daemon_entry>&)>;
+
+  /// `first_listed` is called with the entries of the first listing since the start.
+  peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh,
+              listing_handler first_listed);
 
   void start();
   /// Removes this daemon's entry from the store.
@@ -41,6 +47,7 @@
   const sidecar_context& shared_;
   mesh_store& store_;
   peer_mesh& mesh_;
+  listing_handler first_listed_;
   std::map<instance_name, ip_endpoint> endpoints_;
   bool listed_ = false;
   timer_handle next_call_;
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -10,6 +10,7 @@
 #include "core/error.h"
 #include "mesh/mesh_configuration.h"
 #include "mesh/target_registry.h"
+#include "suspicion/crash_counts.h"
 #include "transport/http_types.h"
 
 namespace crocusdoor {
@@ -69,6 +70,8 @@
 struct daemon_entry {
   instance_name name;
   std::string endpoint;  ///< Address on which it accepts links, "address:port".
+  /// Requests that are refused because this daemon has counted that they crash their targets.
+  std::vector<crash_count> crashing_requests;
   friend bool operator==(const daemon_entry&, const daemon_entry&) = default;
 };
 
@@ -100,8 +103,10 @@
   virtual void watch_configuration(std::uint64_t revision, duration wait,
                                    configuration_callback done) = 0;
   virtual void list_daemons(listing_callback done) = 0;
-  /// Creates the entry, or replaces one that differs.
+  /// Creates the entry, or replaces one with another endpoint.
   virtual void announce_daemon(const daemon_entry& entry, outcome_callback done) = 0;
+  /// Replaces an entry that exists.
+  virtual void replace_daemon(const daemon_entry& entry, outcome_callback done) = 0;
   virtual void withdraw_daemon(const instance_name& name, outcome_callback done) = 0;
 };
 
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -69,10 +69,12 @@
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   crash_exchange_ = std::make_unique<crash_count_exchange>(
-      shared_, [this](const std::vector<crash_count>& counts) {
+      shared_, *store_, [this](const std::vector<crash_count>& counts) {
         mesh_->send_to_all(wire::suspicions{{}, counts});
       });
-  finder_ = std::make_unique<peer_finder>(shared_, *store_, *mesh_);
+  finder_ = std::make_unique<peer_finder>(
+      shared_, *store_, *mesh_,
+      [this](const std::vector<daemon_entry>& entries) { crash_exchange_->restore(entries); });
   configurations_ = std::make_unique<configuration_exchange>(
       configuration_context{loop_, random_, log_, counters_}, *store_,
       watcher_group(options_.instance.name, options_.instance.domain),
--- a/Tests/platform_adapter/odd_entry_test.cpp
+++ b/Tests/platform_adapter/odd_entry_test.cpp
@@ -3,7 +3,9 @@
 #include <string>
 #include <vector>
 
+#include "core/record_codec.h"
 #include "platform/configuration_reader.h"
+#include "platform/list_reader.h"
 #include "platform/object_store.h"
 #include "transport/http_server.h"
 
@@ -18,6 +20,12 @@
   return R"({"metadata":{"name":")" + name + R"("},"spec":{"endpoint":")" + endpoint + R"("}})";
 }
 
+/// Entry of the daemon "a" with a JSON document in place of its crash counts.
+std::string entry_with_counts(const std::string& counts) {
+  return R"({"metadata":{"name":"a"},"spec":{"endpoint":"10.0.0.1:7600","crashingRequests":)" +
+         counts + "}}";
+}
+
 std::string nested(std::size_t depth) {
   return std::string(depth, '[') + std::string(depth, ']');
 }
@@ -64,11 +72,13 @@
         server_(loop, {"127.0.0.1", store_port},
                 [this](const std::shared_ptr<http_exchange>& exchange) {
                   targets.push_back(exchange->request().target);
+                  received.push_back(exchange->request().body);
                   const std::size_t last = bodies_.size() - 1;
                   exchange->respond({200, {}, bodies_[std::min(targets.size() - 1, last)]});
                 }) {}
 
   std::vector<std::string> targets;
+  std::vector<std::string> received;  ///< Bodies of the requests.
 
  private:
   std::vector<std::string> bodies_;
@@ -101,8 +111,8 @@
 TEST_CASE("one odd entry of another writer does not hide the other daemons",
           "[platform_adapter][F7]") {
   event_loop loop;
-  const daemon_entry first{instance_name("a"), "10.0.0.1:7600"};
-  const daemon_entry last{instance_name("z"), "10.0.0.2:7600"};
+  const daemon_entry first{instance_name("a"), "10.0.0.1:7600", {}};
+  const daemon_entry last{instance_name("z"), "10.0.0.2:7600", {}};
 
   SECTION("whatever it holds and wherever it stands") {
     for (const std::string& odd : odd_entries()) {
@@ -170,4 +180,45 @@
   CHECK(read_configuration_object("{").outcome == store_outcome::unreadable);
 }
 
+TEST_CASE("the crash counts in the entry of a daemon are read as they were stored",
+          "[platform_adapter][F6]") {
+  event_loop loop;
+  const daemon_entry stored{
+      instance_name("a"), "10.0.0.1:7600", {{digest_of("one"), 0, 2}, {digest_of("two"), 7, 3}}};
+
+  SECTION("by any daemon") {
+    canned_store server(loop, {"{}"});
+    object_store store(loop, {"127.0.0.1", store_port});
+    store.replace_daemon(stored, [&](store_outcome outcome) {
+      CHECK(outcome == store_outcome::done);
+      loop.stop();
+    });
+    loop.run();
+    REQUIRE(server.received.size() == 1);
+    CHECK(read_listed_daemon(server.received[0]).entry == stored);
+  }
+  SECTION("without those that cannot be read, which do not hide the daemon") {
+    const std::string count = encode_value(stored.crashing_requests[0]).dump();
+    const std::vector<std::string> odd = {
+        R"({"request":"short","clearings":0,"crashes":2})",
+        R"({"request":")" + digest_of("x").str() + R"(","clearings":-1,"crashes":2})",
+        R"({"request":")" + digest_of("x").str() + R"(","clearings":0,"crashes":1e999})",
+        R"({"request":")" + digest_of("x").str() + R"(","clearings":0,"crashes":99999999999})",
+        "7",
+        "null",
+        nested(deep_nesting),
+    };
+    for (const std::string& element : odd) {
+      INFO(element.substr(0, 100));
+      for (const std::string& list : {"[" + element + "]", "[" + count + "," + element + "]"}) {
+        const listed_daemon read = read_listed_daemon(entry_with_counts(list));
+        CHECK(read.readable);
+        CHECK(read.entry.endpoint == stored.endpoint);
+        CHECK(read.entry.crashing_requests.size() == (list.size() > element.size() + 2 ? 1 : 0));
+      }
+      CHECK(read_listed_daemon(entry_with_counts(element)).readable);
+    }
+  }
+}
+
 }  // namespace crocusdoor::platform
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -240,6 +240,27 @@
     }
     CHECK(targets.crashed_at.size() == crash_limit);
   }
+  SECTION("is refused also after all daemons have restarted at once") {
+    mesh.run_for(milliseconds(100), [] { return false; });
+    for (const auto& instance : mesh.instances) {
+      instance->restart_daemon();
+    }
+    for (const auto& instance : mesh.instances) {
+      instance->daemon->start();
+    }
+    for (const auto& instance : mesh.instances) {
+      REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
+      instance->announce("ready");
+    }
+    for (const auto& instance : mesh.instances) {
+      REQUIRE(mesh.run_until(
+          [&] { return instance->daemon->available_upstreams(service_name("s")) == 3; }));
+    }
+    for (const auto& instance : mesh.instances) {
+      CHECK(mesh.call(*instance, "POST", "/safe/1", poison_body).response.status == 503);
+    }
+    CHECK(targets.crashed_at.size() == crash_limit);
+  }
   SECTION("can be listed and cleared by an operator, at any daemon") {
     http_client api(mesh.loop, mesh.instances[1]->metrics_endpoint(), {});
     const auto ask = [&](const std::string& method, const std::string& path, const json& body) {
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -71,8 +71,8 @@
 void test_store::list_daemons(listing_callback done) {
   response_timers_.push_back(loop_.after(store_latency, [this, done] {
     daemon_listing listing{contents_.reachable ? store_outcome::done : store_outcome::refused, {}};
-    for (const auto& [name, endpoint] : contents_.daemons) {
-      listing.daemons.push_back({name, endpoint});
+    for (const auto& [name, entry] : contents_.daemons) {
+      listing.daemons.push_back(entry);
     }
     done(listing);
   }));
@@ -81,12 +81,24 @@
 void test_store::announce_daemon(const daemon_entry& entry, outcome_callback done) {
   response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
     if (contents_.reachable) {
-      contents_.daemons[entry.name] = entry.endpoint;
+      contents_.daemons.try_emplace(entry.name, entry).first->second.endpoint = entry.endpoint;
     }
     done(contents_.reachable ? store_outcome::done : store_outcome::refused);
   }));
 }
 
+void test_store::replace_daemon(const daemon_entry& entry, outcome_callback done) {
+  response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
+    const auto found = contents_.daemons.find(entry.name);
+    if (!contents_.reachable || found == contents_.daemons.end()) {
+      done(contents_.reachable ? store_outcome::not_found : store_outcome::refused);
+      return;
+    }
+    found->second = entry;
+    done(store_outcome::done);
+  }));
+}
+
 void test_store::withdraw_daemon(const instance_name& entry, outcome_callback done) {
   response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
     contents_.daemons.erase(entry);
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -22,7 +22,7 @@
   int waiting = 0;                        ///< Number of waiting watches.
   std::uint64_t last_watch_revision = 0;  ///< Revision from which the latest watch waits.
   std::string document;
-  std::map<instance_name, std::string> daemons;
+  std::map<instance_name, daemon_entry> daemons;
 };
 
 /// A client of the store of a test. A watch responds at the end of its wait or within 10 ms after a
@@ -37,6 +37,7 @@
                            configuration_callback done) override;
   void list_daemons(listing_callback done) override;
   void announce_daemon(const daemon_entry& entry, outcome_callback done) override;
+  void replace_daemon(const daemon_entry& entry, outcome_callback done) override;
   void withdraw_daemon(const instance_name& name, outcome_callback done) override;
 
  private:
--- a/Tests/sidecar/sidecar_mesh_test.cpp
+++ b/Tests/sidecar/sidecar_mesh_test.cpp
@@ -239,7 +239,8 @@
   test_instance& origin = mesh.add("origin", "other");
   test_instance& successor = mesh.add("successor", "s");
   mesh.configure(1, "s");
-  mesh.store.daemons[instance_name("dead")] = to_string(successor.daemon->peer_endpoint());
+  mesh.store.daemons[instance_name("dead")] = {
+      instance_name("dead"), to_string(successor.daemon->peer_endpoint()), {}};
   mesh.start();
   CHECK(mesh.run_until([&] { return !mesh.store.daemons.contains(instance_name("dead")); }));
   CHECK(mesh.run_for(std::chrono::seconds(3),
