Test that resets of single connections do not refuse a request

Counting a loss without a sign of life as a possible crash could refuse a request whose targets only reset its connections. The test resets a request at two targets in a row. While the targets keep other connections open the repeat is served at once; without one it is refused until a heartbeat of the same start arrives, and served then.

--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -307,4 +307,50 @@
   CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
 }
 
+TEST_CASE("a request is not refused because targets have reset single connections of it",
+          "[sidecar][F6]") {
+  mesh_fixture mesh;
+  start_three_instances(mesh);
+  test_instance& origin = *mesh.instances[0];
+  std::size_t resets = crash_limit;
+  std::vector<std::shared_ptr<http_exchange>> waiting;
+  const std::string waiting_path = "/safe/waiting";
+  for (const auto& instance : mesh.instances) {
+    instance->on_request = [&, target = instance.get()](const auto& exchange) {
+      if (exchange->request().target == waiting_path) {
+        waiting.push_back(exchange);
+      } else if (resets > 0) {
+        --resets;
+        mesh.loop.post([exchange] { exchange->close(); });
+      } else {
+        target->respond(*exchange, 200, "answer");
+      }
+    };
+  }
+
+  SECTION("if the target keeps other connections open") {
+    for (std::size_t sent = 0; sent < mesh.instances.size(); ++sent) {
+      origin.caller->send({"GET",
+                           waiting_path,
+                           {{"Host", "h.example"},
+                            {"X-Attempt-Id", "waiting-" + std::to_string(sent)},
+                            {"X-Deadline-Ms", "2000"}},
+                           ""},
+                          seconds(3), [](const http_result&) {});
+      REQUIRE(mesh.run_until([&] { return waiting.size() == sent + 1; }));
+    }
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 502);
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
+  }
+  SECTION("once a later heartbeat shows that the targets have survived") {
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 502);
+    mesh.run_for(seconds(1), [] { return false; });
+    for (const auto& instance : mesh.instances) {
+      instance->announce("ready");
+    }
+    mesh.run_for(milliseconds(100), [] { return false; });
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
+  }
+}
+
 }  // namespace crocusdoor
