Test a request that comes again while all daemons end at once several times

A request that ends each target it reaches is sent every 0.6 s to six sidecars, which are all restarted at once after 4, 8 and 12 s.

--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -117,6 +117,25 @@
   start_instances(mesh, 3);
 }
 
+/// Ends all daemons at once and waits until their successors are linked and know their targets.
+void restart_all_daemons(mesh_fixture& mesh) {
+  for (const auto& instance : mesh.instances) {
+    instance->restart_daemon();
+  }
+  for (const auto& instance : mesh.instances) {
+    instance->daemon->start();
+  }
+  for (const auto& instance : mesh.instances) {
+    REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
+    instance->announce("ready");
+  }
+  for (const auto& instance : mesh.instances) {
+    REQUIRE(mesh.run_until([&] {
+      return instance->daemon->available_upstreams(service_name("s")) == mesh.instances.size();
+    }));
+  }
+}
+
 /// Callers that send other requests, a number of them at a time, and the targets' responses to
 /// them, which take a while.
 class other_requests {
@@ -205,6 +224,21 @@
   }
 }
 
+TEST_CASE("a request is stopped although all daemons end at once again and again",
+          "[sidecar][F6]") {
+  constexpr std::size_t restarts = 3;
+  mesh_fixture mesh;
+  start_instances(mesh, 6);
+  crashing_targets targets(mesh);
+  for (std::size_t restart = 0; restart < restarts; ++restart) {
+    resend(mesh, targets, "/once/1", milliseconds(600), seconds(4));
+    restart_all_daemons(mesh);
+  }
+  resend(mesh, targets, "/once/1", milliseconds(600), seconds(4));
+  CHECK(targets.crashes_after_contact() <= sends_after_contact_limit);
+  CHECK(targets.crashed_at.size() <= crash_limit);
+}
+
 TEST_CASE("a request that has crashed two targets", "[sidecar][F6]") {
   mesh_fixture mesh;
   start_three_instances(mesh);
@@ -242,20 +276,7 @@
   }
   SECTION("is refused also after all daemons have restarted at once") {
     mesh.run_for(milliseconds(100), [] { return false; });
-    for (const auto& instance : mesh.instances) {
-      instance->restart_daemon();
-    }
-    for (const auto& instance : mesh.instances) {
-      instance->daemon->start();
-    }
-    for (const auto& instance : mesh.instances) {
-      REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
-      instance->announce("ready");
-    }
-    for (const auto& instance : mesh.instances) {
-      REQUIRE(mesh.run_until(
-          [&] { return instance->daemon->available_upstreams(service_name("s")) == 3; }));
-    }
+    restart_all_daemons(mesh);
     for (const auto& instance : mesh.instances) {
       CHECK(mesh.call(*instance, "POST", "/safe/1", poison_body).response.status == 503);
     }
