Count several losses of a request at one start of a target as one crash at most

A process can end only once, so the losses of one request at one start of a target are one crash at most, suspected or proved; the count that was known at the first of them is the one that counts. "if it is the same target again and again" and "several losses of a request at one start of the target are one crash at most" check the rule itself.

--- a/Source/sidecar/crash_reporter.cpp
+++ b/Source/sidecar/crash_reporter.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/crash_reporter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crocusdoor {
@@ -69,11 +70,18 @@
   changed_(changed);
 }
 
+/// Counts one crash for each run, with the count that was known when it was first lost.
 void crash_reporter::count_crashes(const lost_exchanges& lost) const {
   std::vector<crash_count> changed;
-  for (const lost_exchange& exchange : lost) {
+  for (auto exchange = lost.begin(); exchange != lost.end(); ++exchange) {
+    const bool counted = std::any_of(lost.begin(), exchange, [&](const lost_exchange& earlier) {
+      return same_run(earlier, *exchange);
+    });
+    if (counted) {
+      continue;
+    }
     const auto count =
-        shared_.crashes.crashed(exchange.request, exchange.known, shared_.loop.now());
+        shared_.crashes.crashed(exchange->request, exchange->known, shared_.loop.now());
     if (count.has_value()) {
       changed.push_back(*count);
     }
--- a/Source/sidecar/target_crash_watch.cpp
+++ b/Source/sidecar/target_crash_watch.cpp
@@ -21,6 +21,10 @@
 
 }  // namespace
 
+bool same_run(const lost_exchange& left, const lost_exchange& right) {
+  return left.request == right.request && left.target_start == right.target_start;
+}
+
 target_crash_watch::target_crash_watch(timer_service& timers, handlers callbacks)
     : timers_(timers), callbacks_(std::move(callbacks)) {}
 
@@ -105,7 +109,7 @@
     if (!open.release || (!alive && now - open.lost.lost_at < hold_limit)) {
       continue;
     }
-    if (!alive) {
+    if (!alive && !is_suspected(open.lost)) {
       open.lost.suspected = true;
       suspects.push_back(open.lost);
     }
@@ -150,6 +154,12 @@
   settle(matches, [&](const lost_exchanges& lost) { callbacks_.survived(lost, evidence); });
 }
 
+bool target_crash_watch::is_suspected(const lost_exchange& lost) const {
+  return std::any_of(open_.begin(), open_.end(), [&](const open_exchange& open) {
+    return open.lost.suspected && same_run(open.lost, lost);
+  });
+}
+
 bool target_crash_watch::any_held() const {
   return std::any_of(open_.begin(), open_.end(),
                      [](const open_exchange& open) { return open.release != nullptr; });
--- a/Source/sidecar/target_crash_watch.h
+++ b/Source/sidecar/target_crash_watch.h
@@ -26,6 +26,10 @@
 
 using lost_exchanges = std::vector<lost_exchange>;
 
+/// Whether one start of the target ran the same request in both exchanges. It can have ended only
+/// once, so both together are one crash at most.
+[[nodiscard]] bool same_run(const lost_exchange& left, const lost_exchange& right);
+
 /// What shows that the target has ended.
 enum class crash_evidence {
   connection_refused,  ///< Nobody listens at its address.
@@ -72,7 +76,7 @@
     std::function<std::optional<time_point>()> oldest_connection;
     /// The target may have ended with these requests in flight.
     std::function<void(const lost_exchanges&)> suspected;
-    /// The target has ended with these requests in flight.
+    /// The target has ended with these requests in flight, in the order in which they were lost.
     std::function<void(const lost_exchanges&, crash_evidence)> ended;
     /// The target has survived the loss of these exchanges.
     std::function<void(const lost_exchanges&, survival_evidence)> survived;
@@ -107,6 +111,8 @@
               const std::function<void(const lost_exchanges&)>& report);
   void settle_ended(const exchange_filter& matches, crash_evidence evidence);
   void settle_survived(const exchange_filter& matches, survival_evidence evidence);
+  /// Whether an exchange of the same run has been reported as a possible crash.
+  [[nodiscard]] bool is_suspected(const lost_exchange& lost) const;
   [[nodiscard]] bool any_held() const;
 
   timer_service& timers_;
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -363,6 +363,18 @@
     CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 502);
     CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
   }
+  SECTION("if it is the same target again and again") {
+    for (std::size_t instance = 1; instance < mesh.instances.size(); ++instance) {
+      mesh.instances[instance]->announce("draining");
+    }
+    REQUIRE(
+        mesh.run_until([&] { return origin.daemon->available_upstreams(service_name("s")) == 1; }));
+    resets = 2 * crash_limit;
+    for (std::size_t sent = 0; sent < 2 * crash_limit; ++sent) {
+      CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 502);
+    }
+    CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 200);
+  }
   SECTION("once a later heartbeat shows that the targets have survived") {
     CHECK(mesh.call(origin, "GET", "/safe/popular").response.status == 502);
     mesh.run_for(seconds(1), [] { return false; });
--- a/Tests/sidecar/target_crash_watch_test.cpp
+++ b/Tests/sidecar/target_crash_watch_test.cpp
@@ -47,9 +47,8 @@
                               signs_of_life.push_back(seen);
                             }}};
 
-  void lose_exchange() {
-    watch.exchange_lost({request, {request, 0, 0}, first_start, timers.now()},
-                        [this] { ++released; });
+  void lose_exchange(const digest& lost = request) {
+    watch.exchange_lost({lost, {lost, 0, 0}, first_start, timers.now()}, [this] { ++released; });
   }
 
   void end_probe(probe_result result) { probes.back()(result); }
@@ -76,7 +75,7 @@
   watched_target target;
   target.timers.run_for(10s);
   target.lose_exchange();
-  target.lose_exchange();
+  target.lose_exchange(digest_of("another request"));
   REQUIRE(target.probes.size() == 1);
   CHECK(target.released == 0);
 
@@ -173,6 +172,19 @@
       CHECK(target.probes.size() == probes);
     }
   }
+  SECTION("and several losses of a request at one start of the target are one crash at most") {
+    target.run_for(200ms, probe_result::accepted);
+    target.lose_exchange();
+    target.run_for(200ms, probe_result::accepted);
+    CHECK(target.released == 2);
+    CHECK(target.suspected == 1);
+
+    SECTION("which is taken back once") {
+      target.run_for(2s, probe_result::accepted);
+      target.watch.heartbeat_received(first_start);
+      CHECK(target.taken_back == 1);
+    }
+  }
   SECTION("the probe ends only after the time for which a response may wait") {
     target.timers.run_for(100ms);
     CHECK(target.released == 1);
