Do not look at the socket of a connection that carries a request

The peek takes a pending reset from the socket, the next read then returns the end of the stream, and a response that ends with its connection looks whole.

Connections with a request in progress are judged by the events of the loop only; idle ones, whose end proves nothing about a response, are still checked at the socket. "a response cut off by a reset is not complete whenever its connection is looked at" failed before (answered, wanted interrupted) and passes now.

--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -153,11 +153,14 @@
 
   /// When the connection was established; empty if it is not established or no longer open.
   [[nodiscard]] std::optional<time_point> open_since() const {
-    return established_at_.has_value() && open_and_read() ? established_at_ : std::nullopt;
+    const bool open = established_at_.has_value() && (busy() || open_and_read());
+    return open ? established_at_ : std::nullopt;
   }
 
  private:
-  /// Whether the server has not closed the connection and all its bytes have been read.
+  /// Whether the server has not closed the connection and all its bytes have been read. Only for a
+  /// connection without a request: the check takes a pending reset from the socket, and the end of
+  /// a response without a length would look orderly.
   [[nodiscard]] bool open_and_read() const {
     char byte = 0;
     const ssize_t received =
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -101,8 +101,8 @@
   /// one.
   void close_idle();
 
-  /// When the oldest of the connections that are open was established. A connection with unread
-  /// bytes does not count, because its end may follow them.
+  /// When the oldest of the connections that are open was established. An idle connection with
+  /// unread bytes does not count, because its end may follow them.
   [[nodiscard]] std::optional<time_point> oldest_connection() const;
 
   /// Number of connections opened by this client.
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -164,6 +165,29 @@
   }
 }
 
+TEST_CASE("a response cut off by a reset is not complete whenever its connection is looked at",
+          "[P4]") {
+  event_loop loop;
+  scripted_server::connection* accepted = nullptr;
+  scripted_server server(loop, 0, [&](scripted_server::connection& stream, const std::string&) {
+    accepted = &stream;
+    stream.write("HTTP/1.1 200 OK\r\n\r\npart of a body that ends with its connection");
+  });
+  http_client client(loop, {"127.0.0.1", server.port()}, {});
+  std::optional<http_outcome> outcome;
+  client.send({"GET", "/", {}, {}}, std::chrono::seconds(10),
+              [&](const http_result& result) { outcome = result.outcome; });
+  while (accepted == nullptr) {
+    loop.run_once();
+  }
+  accepted->reset();
+  while (!outcome.has_value()) {
+    (void)client.oldest_connection();
+    loop.run_once();
+  }
+  CHECK(outcome == http_outcome::interrupted);
+}
+
 TEST_CASE("a client closes the connection to a server that sends without end", "[F12]") {
   const std::string status = "HTTP/1.1 200 OK\r\n";
   const std::string other_response = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
