Add the case of a leaving upstream whose first heartbeat is late

A DELETE is answered 200 but not recorded while a crashed predecessor is still registered. The late first heartbeat then registers the upstream as ready. No machine of the system is disturbed.

--- a/review/rig/mesh.cpp
+++ b/review/rig/mesh.cpp
@@ -159,19 +159,32 @@
 
 void mesh::start(const nlohmann::json& configuration, const upstream_options& pattern) {
   store_->write_configuration(configuration);
-  for (const machine& host : machines_) {
-    sidecars_.push_back(std::make_unique<sidecar>(log_, host, folder_));
+  pattern_ = pattern;
+  upstreams_.resize(machines_.size());
+  for (std::size_t index = 0; index < machines_.size(); ++index) {
+    sidecars_.push_back(std::make_unique<sidecar>(log_, host(index), folder_));
     sidecars_.back()->start();
-    upstream_options options = pattern;
-    options.id = "i-" + host.name;
-    options.service = host.service;
-    options.zone = host.zone;
-    options.address = host.address(ports::upstream);
-    options.control = host.address(ports::control);
-    upstreams_.push_back(std::make_unique<upstream>(log_, options));
+    start_target(index, "i-" + host(index).name, true);
   }
 }
 
+void mesh::crash_target(std::size_t index) {
+  upstreams_.at(index).reset();
+  log_.line(host(index).name + ": upstream crashed");
+}
+
+void mesh::start_target(std::size_t index, const std::string& id, bool sends_heartbeats) {
+  upstream_options options = pattern_;
+  options.id = id;
+  options.service = host(index).service;
+  options.zone = host(index).zone;
+  options.address = host(index).address(ports::upstream);
+  options.control = host(index).address(ports::control);
+  options.sends_heartbeats = sends_heartbeats;
+  upstreams_.at(index) = std::make_unique<upstream>(log_, options);
+  log_.line(host(index).name + ": upstream " + id + " started");
+}
+
 bool mesh::wait_until_serving(const client_request& request, milliseconds limit) {
   const auto end = steady::now() + limit;
   for (std::size_t index = 0; index < machines_.size(); ++index) {
--- a/review/rig/mesh.h
+++ b/review/rig/mesh.h
@@ -97,6 +97,10 @@
   [[nodiscard]] const machine& host(std::size_t index) const { return machines_.at(index); }
   [[nodiscard]] sidecar& node(std::size_t index) { return *sidecars_.at(index); }
   [[nodiscard]] upstream& target(std::size_t index) { return *upstreams_.at(index); }
+  /// Ends the upstream on a machine without notice, as in a crash.
+  void crash_target(std::size_t index);
+  /// Starts another upstream on the machine. `id` is that of the new start.
+  void start_target(std::size_t index, const std::string& id, bool sends_heartbeats);
   [[nodiscard]] review::store& platform() { return *store_; }
 
  private:
@@ -105,6 +109,7 @@
   std::vector<machine> machines_;
   std::unique_ptr<review::store> store_;
   std::vector<std::unique_ptr<sidecar>> sidecars_;
+  upstream_options pattern_;
   std::vector<std::unique_ptr<upstream>> upstreams_;
 };
 
--- a/review/rig/upstream.cpp
+++ b/review/rig/upstream.cpp
@@ -25,7 +25,9 @@
     : log_(log), options_(std::move(options)), born_ms_(wall_clock_ms()) {
   server_ = std::make_unique<http_server>(
       options_.address, [this](const http_message& request) { return answer(request); });
-  heartbeats_ = std::thread([this] { send_heartbeats(); });
+  if (options_.sends_heartbeats) {
+    heartbeats_ = std::thread([this] { send_heartbeats(); });
+  }
 }
 
 upstream::~upstream() {
@@ -34,7 +36,9 @@
     stopped_ = true;
   }
   changed_.notify_all();
-  heartbeats_.join();
+  if (heartbeats_.joinable()) {
+    heartbeats_.join();
+  }
   server_->stop();
 }
 
@@ -77,8 +81,10 @@
     leaving_ = true;
   }
   changed_.notify_all();
-  const std::string request =
-      request_text("DELETE", "/instances/" + options_.id, {{"Host", options_.control.text()}});
+  const nlohmann::json body = {{"born", born_ms_}};
+  const std::string request = request_text(
+      "DELETE", "/instances/" + options_.id,
+      {{"Host", options_.control.text()}, {"Content-Type", "application/json"}}, body.dump());
   const int status = exchange(options_.control, request, heartbeat_timeout).status();
   const std::lock_guard lock(mutex_);
   left_at_ = steady::now();
--- a/review/rig/upstream.h
+++ b/review/rig/upstream.h
@@ -22,9 +22,11 @@
   milliseconds work{20};
   std::size_t response_bytes = 400;
   milliseconds heartbeat_interval{1'500};
+  bool sends_heartbeats = true;  ///< Otherwise the caller delivers them.
 };
 
-/// A stand-in of an upstream. It sends heartbeats from its construction until it leaves.
+/// A stand-in of one start of an upstream. It sends heartbeats from its construction until it
+/// leaves.
 class upstream {
  public:
   upstream(record& log, upstream_options options);
