--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -3,7 +3,7 @@
 
 #include <csignal>
 
-#include "mesh.h"
+#include "../rig/mesh.h"
 
 namespace {
 
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -2,7 +2,7 @@
 
 #include <csignal>
 
-#include "mesh.h"
+#include "../rig/mesh.h"
 
 namespace {
 
@@ -82,6 +82,7 @@
   }
   std::this_thread::sleep_for(request_delay);
   std::vector<std::thread> threads;
+  threads.reserve(clients);
   std::vector<int> results(clients, 0);
   const endpoint outbound = deployment.host(stopped_machine).address(ports::outbound);
   for (int client = 0; client < clients; ++client) {
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 folder=build-review
 mkdir -p "$folder"
-flags=(-std=c++20 -O1 -pthread -Wall -Wextra -I review/rig)
+flags=(-std=c++20 -O1 -pthread -Wall -Wextra)
 objects=()
 for source in review/rig/*.cpp; do
   object="$folder/$(basename "$source" .cpp).o"
--- a/review/rig/mesh.cpp
+++ b/review/rig/mesh.cpp
@@ -32,7 +32,7 @@
     std::string name = text.substr(begin + 2, end - begin - 2);
     const bool as_json = name.ends_with("|json");
     name = name.substr(0, name.find('|'));
-    const std::string value = fields.at(name);
+    const std::string& value = fields.at(name);
     text.replace(begin, end + 2 - begin, as_json ? nlohmann::json(value).dump() : value);
   }
   return text;
@@ -123,10 +123,12 @@
 }
 
 std::string client_request::text() const {
-  return request_text(
-      method, path,
-      {{"Host", host}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(deadline.count())}},
-      body);
+  std::map<std::string, std::string> headers = {
+      {"Host", host}, {"X-Attempt-Id", id}, {"X-Deadline-Ms", std::to_string(deadline.count())}};
+  if (!user.empty()) {
+    headers["X-User"] = user;
+  }
+  return request_text(method, path, headers, body);
 }
 
 mesh::mesh(record& log, const std::vector<std::string>& services) : log_(log) {
--- a/review/rig/mesh.h
+++ b/review/rig/mesh.h
@@ -76,6 +76,7 @@
   std::string id;
   milliseconds deadline{1'000};
   std::string body;
+  std::string user = {};  ///< Sent as the header X-User if it is not empty.
   [[nodiscard]] std::string text() const;
 };
 
--- a/review/rig/upstream.cpp
+++ b/review/rig/upstream.cpp
@@ -117,7 +117,11 @@
   }
   ++runs_;
   log_.line(options_.id + " (" + options_.service + "): runs " + request.word(0) + " " +
-            request.word(1) + " of attempt " + id);
+            request.word(1) + " of attempt " + id + " for " + request.header("X-User"));
+  if (!options_.crashing_user.empty() && request.header("X-User") == options_.crashing_user) {
+    crashed_ = true;
+    return {};
+  }
   std::this_thread::sleep_for(options_.work);
   return response_text(status_ok, {{"X-Attempt-Id", id}, {"X-Response-Seal", "seal-" + id}},
                        std::string(options_.response_bytes, 'r'));
--- a/review/rig/upstream.h
+++ b/review/rig/upstream.h
@@ -23,6 +23,8 @@
   std::size_t response_bytes = 400;
   milliseconds heartbeat_interval{1'500};
   bool sends_heartbeats = true;  ///< Otherwise the caller delivers them.
+  /// Value of the header X-User of the requests that crash the upstream; empty if there are none.
+  std::string crashing_user;
 };
 
 /// A stand-in of one start of an upstream. It sends heartbeats from its construction until it
@@ -42,6 +44,8 @@
   bool leave();
   /// Number of requests that it has begun to run.
   [[nodiscard]] int runs() const { return runs_; }
+  /// Whether it has begun to run a request that crashes it. The owner then ends it.
+  [[nodiscard]] bool crashed() const { return crashed_; }
   /// Runs that began later than `drain` after the acknowledgement of `leave`, at or after `from`.
   [[nodiscard]] int runs_after_leaving(milliseconds drain, steady::time_point from);
 
@@ -54,6 +58,7 @@
   std::uint64_t born_ms_;
   std::atomic<std::uint64_t> sequence_ = 0;
   std::atomic<int> runs_ = 0;
+  std::atomic<bool> crashed_ = false;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopped_ = false;
