--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,7 +1,10 @@
-// The store turns two of six machines away, the two that wait for changes, and serves the others
-// and the operator. Meanwhile the operator moves a route to another service.
+// One caller's request crashes each upstream that begins to run it and comes again. Other callers
+// send requests with the same path, which the upstreams answer.
 
 #include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <optional>
 
 #include "../rig/mesh.h"
 
@@ -9,85 +12,113 @@
 
 using namespace review;
 
-constexpr const char* old_service = "statements";
-constexpr const char* new_service = "statements-new";
+constexpr const char* service = "statements";
+constexpr const char* crashing_caller = "portal";
+constexpr const char* other_caller = "desk";
+constexpr std::size_t crashing_machine = 0;
+constexpr std::size_t other_machine = 1;
+constexpr std::size_t first_target = 2;
+constexpr const char* crashing_user = "user-17";
 constexpr milliseconds start_limit{20'000};
-constexpr milliseconds sample_time{200};
-constexpr milliseconds sample_interval{20};
-constexpr milliseconds outage{9'000};
-constexpr milliseconds change_delay{50};
+constexpr milliseconds duration{25'000};
 constexpr milliseconds deadline{1'000};
-constexpr std::size_t machines_turned_away = 2;
-constexpr milliseconds request_interval{100};
+/// An upstream is back this long after a crash.
+constexpr milliseconds recovery{2'000};
+constexpr milliseconds repeat_interval{1'000};
+constexpr milliseconds other_interval{40};
+constexpr milliseconds supervision_interval{5};
+constexpr std::size_t crashes_before_rule = 3;
+constexpr int retries_allowed = 3;
 
-client_request statement(const std::string& id) {
-  return {"GET", "statements.example", "/statements/" + id, id, deadline, ""};
+client_request own_statement(const std::string& id, const std::string& user) {
+  return {"GET", "statements.example", "/statements/own", id, deadline, "", user};
 }
 
-nlohmann::json routes(const std::string& service) {
-  return nlohmann::json::array(
-      {route("lookup", "statements.example", "/statements/", "safe", deadline, service)});
-}
+/// Ends the upstreams that have crashed and starts them again. Counts the crashes.
+class supervisor {
+ public:
+  supervisor(mesh& deployment, std::atomic<bool>& over)
+      : deployment_(deployment), over_(over), thread_([this] { run(); }) {}
+  ~supervisor() { thread_.join(); }
+  supervisor(const supervisor&) = delete;
+  supervisor& operator=(const supervisor&) = delete;
 
-/// Machines whose watches wait at the store within a short time.
-std::set<std::size_t> find_watchers(mesh& deployment) {
-  std::set<std::size_t> seen;
-  const auto end = steady::now() + sample_time;
-  while (steady::now() < end) {
-    seen.merge(deployment.platform().watching());
-    std::this_thread::sleep_for(sample_interval);
+  /// Times of the crashes so far.
+  std::vector<steady::time_point> crashes() {
+    const std::lock_guard lock(mutex_);
+    return crashes_;
   }
-  return seen;
-}
 
-int total_runs(mesh& deployment, const std::set<std::size_t>& machines) {
-  int runs = 0;
-  for (const std::size_t index : machines) {
-    runs += deployment.target(index).runs();
+ private:
+  void run() {
+    std::vector<std::optional<steady::time_point>> back_at(deployment_.size());
+    int starts = 0;
+    while (!over_) {
+      for (std::size_t index = first_target; index < deployment_.size(); ++index) {
+        auto& back = back_at[index];
+        if (back.has_value() && steady::now() >= *back) {
+          deployment_.start_target(index, "i-again-" + std::to_string(++starts), true);
+          back.reset();
+        } else if (!back.has_value() && deployment_.target(index).crashed()) {
+          deployment_.crash_target(index);
+          back = steady::now() + recovery;
+          const std::lock_guard lock(mutex_);
+          crashes_.push_back(steady::now());
+        }
+      }
+      std::this_thread::sleep_for(supervision_interval);
+    }
   }
-  return runs;
-}
+
+  mesh& deployment_;
+  std::atomic<bool>& over_;
+  std::mutex mutex_;
+  std::vector<steady::time_point> crashes_;
+  std::thread thread_;
+};
 
 int play(record& log) {
-  const std::set<std::size_t> old_targets = {0, 1, 2};
-  mesh deployment(log,
-                  {old_service, old_service, old_service, new_service, new_service, new_service});
-  const std::set<std::string> services = {old_service, new_service};
-  deployment.start(configuration(1, routes(old_service), services));
-  const auto started_at = steady::now();
-  if (!deployment.wait_until_serving(statement("start"), start_limit)) {
-    return could_not_run;
-  }
-  std::this_thread::sleep_until(started_at + bounds::contact + change_delay);
-  const std::set<std::size_t> watchers = find_watchers(deployment);
-  if (watchers.size() != machines_turned_away) {
-    log.line("found " + std::to_string(watchers.size()) + " machines that watch");
+  mesh deployment(log, {crashing_caller, other_caller, service, service, service, service});
+  upstream_options pattern;
+  pattern.crashing_user = crashing_user;
+  const nlohmann::json routes = nlohmann::json::array(
+      {route("lookup", "statements.example", "/statements/", "safe", deadline, service)});
+  deployment.start(configuration(1, routes, {crashing_caller, other_caller, service}), pattern);
+  if (!deployment.wait_until_serving(own_statement("start", "user-1"), start_limit)) {
     return could_not_run;
   }
-  const auto outage_end = steady::now() + outage;
-  if (with_trouble()) {
-    deployment.platform().turn_away(watchers);
-  }
-  std::this_thread::sleep_for(change_delay);
-  deployment.platform().write_configuration(configuration(2, routes(new_service), services));
-  const auto bound = steady::now() + bounds::config_apply + bounds::max_skew;
-  std::this_thread::sleep_until(bound);
-  log.line("configApplyMs + maxSkewMs have passed since the acknowledgement");
-  const int runs_before = total_runs(deployment, old_targets);
-  int number = 0;
-  while (steady::now() < outage_end) {
-    for (std::size_t index = 0; index < deployment.size(); ++index) {
-      if (!watchers.contains(index)) {
-        (void)deployment.send(index, statement("late-" + std::to_string(++number)));
-      }
+  std::this_thread::sleep_for(bounds::contact);
+  std::atomic<bool> over = false;
+  supervisor crash_watch(deployment, over);
+  std::thread others([&] {
+    for (int number = 0; !over; ++number) {
+      (void)deployment.send(other_machine,
+                            own_statement("other-" + std::to_string(number), "user-2"));
+      std::this_thread::sleep_for(other_interval);
+    }
+  });
+  const auto end = steady::now() + duration;
+  int late_retries = 0;
+  for (int number = 0; steady::now() < end; ++number) {
+    if (with_trouble()) {
+      const std::vector<steady::time_point> before = crash_watch.crashes();
+      const auto sent_at = steady::now();
+      (void)deployment.send(crashing_machine,
+                            own_statement("crashing-" + std::to_string(number), crashing_user));
+      std::this_thread::sleep_for(supervision_interval * 4);
+      const bool reached = crash_watch.crashes().size() > before.size();
+      const bool late = before.size() >= crashes_before_rule &&
+                        sent_at > before[crashes_before_rule - 1] + bounds::contact;
+      late_retries += reached && late ? 1 : 0;
     }
-    std::this_thread::sleep_for(request_interval);
+    std::this_thread::sleep_for(repeat_interval);
   }
-  deployment.platform().turn_away({});
-  const int late = total_runs(deployment, old_targets) - runs_before;
-  log.line("requests from machines that the store serves, sent later than the bound: " +
-           std::to_string(number) + ", run by the old service: " + std::to_string(late));
-  return late > 0 ? rule_broken : rule_held;
+  over = true;
+  others.join();
+  log.line("crashes: " + std::to_string(crash_watch.crashes().size()) +
+           "; retries that reached upstreams later than contactMs after the third: " +
+           std::to_string(late_retries));
+  return late_retries > retries_allowed ? rule_broken : rule_held;
 }
 
 }  // namespace
--- a/review/rig/http.h
+++ b/review/rig/http.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -84,11 +85,17 @@
 /// Sends one request over a new connection and returns the response; its status is 0 without one.
 http_message exchange(const endpoint& remote, const std::string& request, milliseconds timeout);
 
+/// What a server sends for a request. An empty text closes the connection without a response.
+struct reply {
+  reply(std::string response) : text(std::move(response)) {}
+  std::string text;
+  bool without_end = false;  ///< Bytes follow the text until the caller closes the connection.
+};
+
 /// Accepts connections and answers each request on a thread of its connection.
 class http_server {
  public:
-  /// Returns the text of the response; an empty text closes the connection without one.
-  using handler = std::function<std::string(const http_message&)>;
+  using handler = std::function<reply(const http_message&)>;
 
   http_server(const endpoint& local, handler answer);
   ~http_server();
--- a/review/rig/mesh.cpp
+++ b/review/rig/mesh.cpp
@@ -109,6 +109,19 @@
   }
 }
 
+long sidecar::memory_kib() const {
+  std::ifstream status("/proc/" + std::to_string(process_) + "/status");
+  std::string word;
+  long kib = 0;
+  while (process_ > 0 && status >> word) {
+    if (word == "VmRSS:") {
+      status >> kib;
+      break;
+    }
+  }
+  return kib;
+}
+
 bool sidecar::ended() {
   if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_) {
     process_ = 0;
@@ -187,6 +200,13 @@
   log_.line(host(index).name + ": upstream " + id + " started");
 }
 
+void mesh::spoil_target(std::size_t index, int endless_every) {
+  crash_target(index);
+  const int sound = std::exchange(pattern_.endless_every, endless_every);
+  start_target(index, "i-spoilt", true);
+  pattern_.endless_every = sound;
+}
+
 bool mesh::wait_until_serving(const client_request& request, milliseconds limit) {
   const auto end = steady::now() + limit;
   for (std::size_t index = 0; index < machines_.size(); ++index) {
--- a/review/rig/mesh.h
+++ b/review/rig/mesh.h
@@ -56,6 +56,8 @@
   /// Kills the process and waits for its end.
   void kill();
   [[nodiscard]] bool ready() const;
+  /// Memory in use in KiB; 0 if the process does not run.
+  [[nodiscard]] long memory_kib() const;
   /// Whether the process has ended by itself.
   [[nodiscard]] bool ended();
 
@@ -102,6 +104,8 @@
   void crash_target(std::size_t index);
   /// Starts another upstream on the machine. `id` is that of the new start.
   void start_target(std::size_t index, const std::string& id, bool sends_heartbeats);
+  /// Replaces an upstream by one each n-th answer of which has no end.
+  void spoil_target(std::size_t index, int endless_every);
   [[nodiscard]] review::store& platform() { return *store_; }
 
  private:
--- a/review/rig/record.cpp
+++ b/review/rig/record.cpp
@@ -13,4 +13,14 @@
   file_ << std::setw(7) << elapsed().count() << " " << text << "\n" << std::flush;
 }
 
+void record::ran(const std::string& attempt) {
+  const std::lock_guard lock(mutex_);
+  runs_.insert(attempt);
+}
+
+bool record::has_run(const std::string& attempt) {
+  const std::lock_guard lock(mutex_);
+  return runs_.contains(attempt);
+}
+
 }  // namespace review
--- a/review/rig/record.h
+++ b/review/rig/record.h
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <mutex>
+#include <set>
 #include <string>
 
 #include "http.h"
@@ -16,11 +17,15 @@
 
   void line(const std::string& text);
   [[nodiscard]] milliseconds elapsed() const;
+  /// Notes that an upstream has begun to run an attempt.
+  void ran(const std::string& attempt);
+  [[nodiscard]] bool has_run(const std::string& attempt);
 
  private:
   std::mutex mutex_;
   std::ofstream file_;
   steady::time_point start_;
+  std::set<std::string> runs_;
 };
 
 }  // namespace review
--- a/review/rig/upstream.cpp
+++ b/review/rig/upstream.cpp
@@ -100,7 +100,7 @@
       }));
 }
 
-std::string upstream::answer(const http_message& request) {
+reply upstream::answer(const http_message& request) {
   if (request.word(1) == "/healthz") {
     const std::lock_guard lock(mutex_);
     return response_text(leaving_ ? status_unavailable : status_ok,
@@ -116,11 +116,19 @@
     run_times_.push_back(steady::now());
   }
   ++runs_;
+  log_.ran(id);
   log_.line(options_.id + " (" + options_.service + "): runs " + request.word(0) + " " +
             request.word(1) + " of attempt " + id + " for " + request.header("X-User"));
   if (!options_.crashing_user.empty() && request.header("X-User") == options_.crashing_user) {
     crashed_ = true;
-    return {};
+    return std::string();
+  }
+  if (options_.endless_every > 0 && runs_ % options_.endless_every == 0) {
+    log_.line(options_.id + ": answers attempt " + id + " without end");
+    reply endless("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal-" + id +
+                  "\r\nConnection: close\r\n\r\n");
+    endless.without_end = true;
+    return endless;
   }
   std::this_thread::sleep_for(options_.work);
   return response_text(status_ok, {{"X-Attempt-Id", id}, {"X-Response-Seal", "seal-" + id}},
--- a/review/rig/upstream.h
+++ b/review/rig/upstream.h
@@ -23,6 +23,7 @@
   std::size_t response_bytes = 400;
   milliseconds heartbeat_interval{1'500};
   bool sends_heartbeats = true;  ///< Otherwise the caller delivers them.
+  int endless_every = 0;         ///< Each n-th answer has a body without end; 0 for none.
   /// Value of the header X-User of the requests that crash the upstream; empty if there are none.
   std::string crashing_user;
 };
@@ -50,7 +51,7 @@
   [[nodiscard]] int runs_after_leaving(milliseconds drain, steady::time_point from);
 
  private:
-  std::string answer(const http_message& request);
+  reply answer(const http_message& request);
   void send_heartbeats();
 
   record& log_;
