Run posted actions in the next turn of the loop and stop reading ended connections

What callers saw: an upstream whose answer had no end took the sidecar beside it over its memory in a fraction of a second.

Cause: two faults. event_loop::post scheduled its timer anew with each call. libevent then takes a timer that is due off the active events and puts it back for the next turn, so a connection that posts in each turn kept every posted action of the process from running: the result of its call, the results of all other calls, and its own removal. Until that removal, a client connection that was over its limit went on reading into its buffer.

Change: post schedules the timer only if no action is waiting. A client connection that has ended stops reading and frees its buffers at once, also after an answer that closes it and after a cancellation; a peer link that is closing stops reading. crocusdoord uses the same loop, client and links.

The older test with a server on the client's own loop did not show the fault, because that loop had turns without bytes.

--- a/Source/transport/event_loop.cpp
+++ b/Source/transport/event_loop.cpp
@@ -114,7 +114,10 @@
 
 void event_loop::post(std::function<void()> action) {
   state_->posted.push_back(std::move(action));
-  state_->posted_event->schedule(duration::zero());
+  // Scheduling a timer that is due would move it to the next iteration again.
+  if (state_->posted.size() == 1) {
+    state_->posted_event->schedule(duration::zero());
+  }
 }
 
 void event_loop::on_signal(int signal_number, std::function<void()> action) {
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -138,6 +138,7 @@
   void abandon() {
     call_ = nullptr;
     unusable_ = true;
+    stop();
   }
 
   [[nodiscard]] bool busy() const noexcept { return call_ != nullptr; }
@@ -263,14 +264,27 @@
     request_written_ = false;
     client->finish(call, result);
     if (unusable_) {
+      stop();
       client->drop(shared_from_this());
     }
     client->loop.post([client] { client->start_queued_calls(); });
   }
 
+  /// Stops reading and writing and frees the bytes that were read. The server may go on sending
+  /// until the connection is destroyed.
+  void stop() {
+    bufferevent_setcb(stream_, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(stream_, EV_READ | EV_WRITE);
+    evbuffer* received = bufferevent_get_input(stream_);
+    evbuffer_drain(received, evbuffer_get_length(received));
+    input_ = std::string();
+    reader_.reset();
+  }
+
   /// Marks the connection unusable and ends its request, if it has one.
   void end(http_outcome outcome) {
     unusable_ = true;
+    stop();
     if (call_ != nullptr) {
       const bool not_connected = !request_written_;
       complete({not_connected ? http_outcome::not_sent : outcome, {}, !reused_, not_connected});
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -121,6 +121,9 @@
   }
   closing_ = true;
   open_ = false;
+  if (connection_ != nullptr) {
+    bufferevent_disable(connection_, EV_READ);
+  }
   // The connection is freed in a later iteration of the loop, because a callback of libevent or
   // websocketpp may still be using it.
   loop_.post([link = shared_from_this(), reason = std::move(reason)] { link->finish(reason); });
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -3,10 +3,15 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "loop_client.h"
@@ -21,6 +26,12 @@
 /// Upper bound for the bytes that the server writes. Bytes in the buffers of the kernel and of
 /// libevent count as written although the client has not read them.
 constexpr std::size_t written_limit = 16'000'000;
+/// Bytes after which a flooding server gives up.
+constexpr std::size_t flood_limit = 512'000'000;
+/// Bytes that wait in the kernel before the loop runs: enough for more turns than the limit.
+constexpr std::size_t flood_head_start = 500'000;
+/// libevent reads up to 16 KB in a turn, so the limit on sizes is exceeded in the first few turns.
+constexpr int flood_turns_limit = 10;
 
 /// A server that responds with some bytes and then repeats others until the client closes.
 class endless_server {
@@ -92,6 +103,65 @@
   bool closed_ = false;
 };
 
+/// A server on a thread of its own, so that bytes are there in each turn of the client's loop. It
+/// responds to each connection with some bytes and then repeats others until the client closes.
+class flooding_server {
+ public:
+  flooding_server(std::string first, std::string repeated)
+      : first_(std::move(first)),
+        repeated_(std::move(repeated)),
+        listening_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(listening_, reinterpret_cast<sockaddr*>(&local), sizeof(local)) == 0);
+    REQUIRE(::listen(listening_, 1) == 0);
+    socklen_t length = sizeof(local);
+    ::getsockname(listening_, reinterpret_cast<sockaddr*>(&local), &length);
+    port_ = ntohs(local.sin_port);
+    thread_ = std::thread([this] { serve(); });
+  }
+  ~flooding_server() {
+    ::shutdown(listening_, SHUT_RDWR);
+    thread_.join();
+    ::close(listening_);
+  }
+  flooding_server(const flooding_server&) = delete;
+  flooding_server& operator=(const flooding_server&) = delete;
+
+  [[nodiscard]] std::uint16_t port() const { return port_; }
+  [[nodiscard]] std::size_t written() const { return written_; }
+  [[nodiscard]] bool closed() const { return closed_; }
+
+ private:
+  void serve() {
+    const int connection = ::accept(listening_, nullptr, nullptr);
+    char request = 0;
+    if (connection < 0 || ::recv(connection, &request, 1, 0) <= 0) {
+      return;
+    }
+    for (bool open = write(connection, first_); open && written_ < flood_limit;) {
+      open = write(connection, repeated_);
+    }
+    ::close(connection);
+    closed_ = true;
+  }
+
+  bool write(int connection, const std::string& bytes) {
+    const ssize_t sent = ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    written_ += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    return sent > 0;
+  }
+
+  std::string first_;
+  std::string repeated_;
+  int listening_;
+  std::uint16_t port_ = 0;
+  std::atomic<std::size_t> written_ = 0;
+  std::atomic<bool> closed_ = false;
+  std::thread thread_;
+};
+
 std::string repeat(const std::string& text, int times) {
   std::string result;
   for (int i = 0; i < times; ++i) {
@@ -239,4 +309,46 @@
   }
 }
 
+TEST_CASE("an answer without end neither fills the memory nor delays other calls", "[F12]") {
+  // Failure guarded against: a server that sends faster than the loop reads ended the process.
+  struct flood {
+    std::string description;
+    std::string first;
+    std::string repeated;
+  };
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const auto flooded = GENERATE_COPY(values<flood>({
+      {"in a body", status + "\r\n", repeat("x", 100'000)},
+      {"in a body of chunks", status + "Transfer-Encoding: chunked\r\n\r\n",
+       repeat("3\r\nabc\r\n", 10'000)},
+      {"in a header", status + "X: ", repeat("x", 100'000)},
+      {"in trailers", status + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+       repeat("X: x\r\n", 10'000)},
+      {"in bytes after the answer", status + "Content-Length: 0\r\n\r\n", repeat("x", 100'000)},
+  }));
+  INFO(flooded.description);
+  const flooding_server server(flooded.first, flooded.repeated);
+  event_loop loop;
+  http_client_options options;
+  options.size = {size_limit, size_limit};
+  http_client client(loop, {"127.0.0.1", server.port()}, options);
+  bool ended = false;
+  client.send({"GET", "/", {}, {}}, std::chrono::seconds(20),
+              [&](const http_result&) { ended = true; });
+  while (server.written() == 0) {
+    loop.run_once();
+  }
+  while (server.written() < flood_head_start) {
+    std::this_thread::yield();
+  }
+  for (int turn = 0; turn < flood_turns_limit; ++turn) {
+    loop.run_once();
+  }
+  CHECK(ended);
+  while (!server.closed()) {
+    loop.run_once();
+  }
+  CHECK(server.written() < flood_limit);
+}
+
 }  // namespace crocusdoor
