Take no more pipelined requests of a client than are answered and read

Cause: a server connection appended all bytes that had arrived whenever it read the next request, so a client that pipelines faster than it is answered filled the memory of the process. One that did not read the responses did the same with the output.

Change: a connection takes more input only when the requests before have been handled, and no further request while over 64 KB of output are unsent. libevent stops reading at 64 KB in every phase. A connection that lingers after a refusal frees its buffers at once.

--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -26,9 +26,10 @@
 /// response. Closing a socket with unread input resets the connection, and the client could lose a
 /// response in transit.
 constexpr duration linger_time = std::chrono::seconds(1);
-/// Maximum buffered input of one connection while its request is being processed; it holds
-/// pipelined requests.
+/// Maximum input of one connection that waits to be handled; it holds pipelined requests.
 constexpr std::size_t input_limit_bytes = 65'536;
+/// No further request of a connection is read while more output than this is unsent.
+constexpr std::size_t unsent_limit_bytes = 65'536;
 /// Above this number of connections idle ones are closed, so that file descriptors do not run out.
 constexpr std::size_t connection_limit = 2'000;
 
@@ -69,6 +70,7 @@
     set_connection_options(descriptor);
     bufferevent_setcb(stream_, &http_server_connection::on_read, &http_server_connection::on_write,
                       &http_server_connection::on_event, this);
+    bufferevent_setwatermark(stream_, EV_READ, 0, input_limit_bytes);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
   }
 
@@ -196,7 +198,9 @@
   void finish_writing() {
     phase_ = phase::lingering;
     last_active_at_ = now();
-    if (evbuffer_get_length(bufferevent_get_output(stream_)) == 0) {
+    input_ = std::string();
+    reader_ = http_request_reader(http_size_limits{});
+    if (unsent_output() == 0) {
       ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
     }
   }
@@ -219,6 +223,10 @@
     return evbuffer_get_length(bufferevent_get_input(stream_));
   }
 
+  [[nodiscard]] std::size_t unsent_output() const {
+    return evbuffer_get_length(bufferevent_get_output(stream_));
+  }
+
   void read_available() {
     if (stream_ == nullptr) {
       return;
@@ -228,18 +236,28 @@
       return;
     }
     if (phase_ == phase::answering) {
-      // Keep reading up to the limit to detect that the client closes; the bytes stay buffered
-      // until the response is sent.
-      bufferevent_setwatermark(stream_, EV_READ, 0, input_limit_bytes);
+      // libevent keeps reading up to the limit and detects that the client closes; the bytes stay
+      // buffered until the response is sent.
       return;
     }
-    bufferevent_setwatermark(stream_, EV_READ, 0, 0);
-    append_input(stream_, input_);
-    read_request();
+    if (unsent_output() > unsent_limit_bytes) {
+      return;
+    }
+    // More bytes are taken only when those of the requests before have been handled, so that a
+    // client that sends faster than it is answered does not fill the memory.
+    if (phase_ == phase::idle) {
+      read_request();
+    }
+    if (phase_ == phase::reading || (phase_ == phase::idle && input_.empty())) {
+      append_input(stream_, input_);
+      read_request();
+    }
   }
 
+  /// Handles the next request in `input_`. Leaves the connection in `phase::reading` if its end is
+  /// missing.
   void read_request() {
-    if (input_.empty() && phase_ == phase::idle) {
+    if (input_.empty()) {
       return;
     }
     last_active_at_ = now();
@@ -285,8 +303,11 @@
   }
 
   static void on_write(bufferevent* stream, void* context) {
-    if (static_cast<http_server_connection*>(context)->phase_ == phase::lingering) {
+    const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
+    if (self->phase_ == phase::lingering) {
       ::shutdown(bufferevent_getfd(stream), SHUT_WR);
+    } else {
+      self->post_read();
     }
   }
 
--- a/Tests/raw_connection.h
+++ b/Tests/raw_connection.h
@@ -29,6 +29,13 @@
     ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Writes as many of the bytes as the connection takes at once. Returns their number.
+  [[nodiscard]] std::size_t write_some(const std::string& bytes) const {
+    const ssize_t sent =
+        ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return sent > 0 ? static_cast<std::size_t>(sent) : 0;
+  }
+
   void close() {
     if (descriptor_ >= 0) {
       ::close(descriptor_);
--- a/Tests/transport/http_server_test.cpp
+++ b/Tests/transport/http_server_test.cpp
@@ -130,6 +130,39 @@
   }
 }
 
+TEST_CASE("a client that sends requests without end does not fill the memory", "[F12]") {
+  // Failure guarded against: pipelined requests were taken faster than they were answered.
+  constexpr std::size_t response_bytes = 1'000;
+  event_loop loop;
+  std::size_t handled = 0;
+  http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++handled;
+    loop.post([exchange] { exchange->respond({200, {}, std::string(response_bytes, 'x')}); });
+  });
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::string requests;
+  for (int i = 0; i < 4'000; ++i) {
+    requests += request;
+  }
+  const bool reads = GENERATE(true, false);
+  INFO((reads ? "the client reads" : "the client does not read") << " the responses");
+  raw_connection caller(server.port());
+  std::size_t sent = 0;
+  const timer_handle sender = loop.every(std::chrono::milliseconds(1), [&] {
+    sent += caller.write_some(requests.substr(sent % request.size()));
+    if (reads) {
+      (void)caller.received();
+    }
+  });
+  const timer_handle end = loop.after(std::chrono::seconds(2), [&] { loop.stop(); });
+  loop.run();
+  // The kernel may hold some 10 MB of the requests and of the responses.
+  constexpr std::size_t kernel_bytes = 16'000'000;
+  CHECK(handled > 0);
+  CHECK(sent < handled * request.size() + kernel_bytes);
+  CHECK((reads || handled * response_bytes < kernel_bytes));
+}
+
 TEST_CASE("a server can close a connection without a response", "[F2]") {
   event_loop loop;
   http_server server(loop, {"127.0.0.1", 0}, [&](const std::shared_ptr<http_exchange>& exchange) {
