Keep acknowledged departures of targets in the store

Cause: a departure was kept in the memory of its sidecar and of the peers, which remind a sidecar that has restarted. If all processes end at once nobody is left to remind it, so the acknowledgement promised more than was kept.

Change: a departure is written into the daemon's own entry in the store before it is acknowledged (entry_writer, which now also writes the crash counts). A daemon that starts reads the departures from the listing that it reads anyway, and tells the peers theirs, so that one that the store turns away learns them as well. Each write states the revision that it replaces: one that the store executes late does not undo a later one. A planned stop removes the entry only if nobody listens at the target's address any more, since a target that leaves may run on beside the next process. Departures that state no start apply to their id only.

Weighed against it: to believe a heartbeat after a start only with a health check that is newer.

--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -4,13 +4,11 @@
 
 namespace crocusdoor {
 
-/// Whether the recorded departure covers the start that the heartbeat belongs to.
-bool target_registry::has_departed(const target_announcement& announcement) const {
-  return departed_.has_value() && announcement.born_ms <= departed_->born_ms;
-}
-
-void target_registry::begin_leaving(time_point now) {
-  if (!target_->leaving) {
+void target_registry::record_departure(const target_departure& departure, time_point now) {
+  departures_.add(departure);
+  const bool left = target_.has_value() &&
+                    departures_.covers(target_->announcement.id, target_->announcement.born_ms);
+  if (left && !target_->leaving) {
     target_->leaving = true;
     target_->leaving_since = now;
   }
@@ -38,14 +36,14 @@
       leaving_since = target_->leaving_since;
     }
   }
-  if (!same_start && has_departed(announcement)) {
+  if (!same_start && departures_.covers(announcement.id, announcement.born_ms)) {
     return announcement_result::outdated;
   }
   const bool leaving = announcement.draining || was_leaving;
   target_ =
       registered_target{announcement, leaving, leaving_since, now + announcement.warmup_left_ms};
   if (leaving) {
-    departed_ = target_departure{announcement.id, announcement.born_ms};
+    departures_.add({announcement.id, announcement.born_ms});
   }
   return announcement_result::accepted;
 }
@@ -53,34 +51,25 @@
 announcement_result target_registry::withdraw(const std::string& id,
                                               std::optional<std::uint64_t> born_ms,
                                               std::uint64_t wall_now_ms, time_point now) {
-  std::uint64_t departed_born_ms = born_ms.value_or(wall_now_ms);
-  if (target_.has_value()) {
-    const std::uint64_t registered_born_ms = target_->announcement.born_ms;
-    if (target_->announcement.id != id || (born_ms.has_value() && *born_ms < registered_born_ms)) {
-      return announcement_result::outdated;
-    }
-    // The start of a target that a health check found is not known; its `born_ms` is 0.
-    departed_born_ms = registered_born_ms > 0 ? registered_born_ms : departed_born_ms;
-    begin_leaving(now);
+  if (target_.has_value() && target_->announcement.id != id) {
+    return announcement_result::outdated;
   }
-  departed_ = target_departure{id, departed_born_ms};
-  return announcement_result::accepted;
+  const std::uint64_t registered_born_ms = target_.has_value() ? target_->announcement.born_ms : 0;
+  const bool later_registered = born_ms.has_value() && *born_ms < registered_born_ms;
+  if (!born_ms.has_value() && target_.has_value() && target_->announcement.id == id &&
+      registered_born_ms > 0) {
+    born_ms = registered_born_ms;
+  }
+  record_departure({id, born_ms.value_or(wall_now_ms), born_ms.has_value()}, now);
+  return later_registered ? announcement_result::outdated : announcement_result::accepted;
 }
 
 void target_registry::restore_departure(const target_departure& departure, time_point now) {
-  const bool registered = target_.has_value() && target_->announcement.id == departure.id &&
-                          target_->announcement.born_ms <= departure.born_ms;
-  if (registered) {
-    begin_leaving(now);
-  }
-  if (!departed_.has_value() || departed_->born_ms < departure.born_ms) {
-    departed_ = departure;
-  }
+  record_departure(departure, now);
 }
 
 void target_registry::discover(const target_announcement& announcement) {
-  const bool departed = departed_.has_value() && departed_->id == announcement.id;
-  if (!target_.has_value() && !departed) {
+  if (!target_.has_value() && !departures_.covers(announcement.id, 0)) {
     target_ = registered_target{announcement, false, {}, {}};
   }
 }
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -6,6 +6,7 @@
 
 #include "core/strong_string.h"
 #include "core/time.h"
+#include "mesh/target_departures.h"
 
 namespace crocusdoor {
 
@@ -37,29 +38,22 @@
   time_point warm_at{};  ///< End of the warm-up after its start.
 };
 
-/// A start of a target that has withdrawn. Its daemon has acknowledged the withdrawal, so the
-/// target gets no new requests, also after a restart of the daemon.
-struct target_departure {
-  std::string id;
-  std::uint64_t born_ms = 0;  ///< All starts up to this time have left.
-  friend bool operator==(const target_departure&, const target_departure&) = default;
-};
-
 /// Holds the newest heartbeat of the target beside the daemon. Heartbeats may be late, repeated or
 /// from an earlier start of the target; they are ordered by the start and then by the sequence.
 class target_registry {
  public:
   announcement_result announce(const target_announcement& announcement, time_point now);
-  /// The target announces that it leaves. Changes nothing if another target, or a later start of
-  /// this one, is registered. A target that is not registered yet is recorded as departed, because
-  /// the acknowledgement is binding for it as well. Without `born_ms` and without a registered
-  /// start, the withdrawal covers all starts up to `wall_now_ms`.
+  /// A target announces that it leaves. This is recorded whatever is registered, because the
+  /// acknowledgement is binding: no heartbeat of the start may have arrived yet, or only that of an
+  /// earlier start at the address, which leaves with it. A later start is not affected. Without
+  /// `born_ms` and without a registered start of this id, the withdrawal covers all starts under
+  /// the id up to `wall_now_ms`.
   announcement_result withdraw(const std::string& id, std::optional<std::uint64_t> born_ms,
                                std::uint64_t wall_now_ms, time_point now);
   /// Registers a target that a health check found before any heartbeat arrived. Changes nothing if
   /// a target is registered already or this one has withdrawn.
   void discover(const target_announcement& announcement);
-  /// Takes over a departure that a peer has kept over a restart of this daemon.
+  /// Takes over a departure that a peer or the store has kept over a restart of this daemon.
   void restore_departure(const target_departure& departure, time_point now);
   /// Removes the target, unless it is leaving: its response showed that another target has its
   /// address now.
@@ -70,18 +64,15 @@
     return target_.has_value() && !target_->leaving;
   }
 
-  /// The latest departure that this daemon has acknowledged or received from a peer.
-  [[nodiscard]] const std::optional<target_departure>& departure() const noexcept {
-    return departed_;
-  }
+  /// The departures that this daemon has acknowledged, or received from a peer or the store.
+  [[nodiscard]] const target_departures& departures() const noexcept { return departures_; }
 
  private:
-  [[nodiscard]] bool has_departed(const target_announcement& announcement) const;
-  /// Marks the registered target as leaving.
-  void begin_leaving(time_point now);
+  /// Records a departure and marks the registered target as leaving if its start has left.
+  void record_departure(const target_departure& departure, time_point now);
 
   std::optional<registered_target> target_;
-  std::optional<target_departure> departed_;
+  target_departures departures_;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/crash_count_archive.h
+++ b/Source/sidecar/crash_count_archive.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <optional>
 #include <vector>
 
+#include "sidecar/entry_writer.h"
 #include "sidecar/sidecar_context.h"
 
 namespace crocusdoor {
@@ -15,26 +15,22 @@
 /// its counts, and a daemon that starts then refuses these requests for another age limit.
 class crash_count_archive {
  public:
-  crash_count_archive(const sidecar_context& shared, mesh_store& store);
+  crash_count_archive(const sidecar_context& shared, entry_writer& entry);
 
   /// The entries have been listed for the first time since the start of the process. Returns the
   /// counts that they contain.
   std::vector<crash_count> restore(const std::vector<daemon_entry>& entries);
   /// Counts have changed on this daemon.
   void changed(const std::vector<crash_count>& counts);
-  /// Stores the counts if they differ from those in the entry. Call about once a second.
+  /// Stores the counts that have changed. Call about once a second.
   void update();
 
  private:
   [[nodiscard]] std::vector<crash_count> refused_counts();
 
   const sidecar_context& shared_;
-  mesh_store& store_;
+  entry_writer& entry_;
   std::vector<digest> requests_;  ///< Requests to be kept, the latest last.
-  /// Counts in this daemon's entry; empty until the entry has been read.
-  std::optional<std::vector<crash_count>> stored_;
-  bool storing_ = false;
-  time_point next_store_at_{};
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/crash_count_exchange.cpp
+++ b/Source/sidecar/crash_count_exchange.cpp
@@ -14,9 +14,9 @@
 }  // namespace
 
 crash_count_exchange::crash_count_exchange(
-    const sidecar_context& shared, mesh_store& store,
+    const sidecar_context& shared, entry_writer& entry,
     std::function<void(const std::vector<crash_count>&)> send_to_all)
-    : shared_(shared), send_to_all_(std::move(send_to_all)), archive_(shared, store) {}
+    : shared_(shared), send_to_all_(std::move(send_to_all)), archive_(shared, entry) {}
 
 void crash_count_exchange::start() {
   expiry_timer_ = shared_.loop.every(expiry_interval, [this] {
--- a/Source/sidecar/crash_count_exchange.h
+++ b/Source/sidecar/crash_count_exchange.h
@@ -13,7 +13,7 @@
 class crash_count_exchange {
  public:
   /// `send_to_all` sends counts to all peers.
-  crash_count_exchange(const sidecar_context& shared, mesh_store& store,
+  crash_count_exchange(const sidecar_context& shared, entry_writer& entry,
                        std::function<void(const std::vector<crash_count>&)> send_to_all);
 
   /// Begins to remove counts past their age limit.
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -264,19 +264,30 @@
   target_changed();
 }
 
-/// Reports a departure to the peers, which keep it because this process loses it when it ends.
-void inbound_gateway::report_departure() {
-  const std::optional<target_departure> departure = registry_.departure();
-  if (departure.has_value() && departure != reported_departure_) {
-    reported_departure_ = departure;
-    shared_.log.info("target_departed",
-                     {{"target", departure->id}, {"born_ms", departure->born_ms}});
-    callbacks_.target_departed(*departure);
+/// Reports new departures to the peers and the store, because this process loses them when it ends.
+void inbound_gateway::report_departures() {
+  for (const target_departure& departure : registry_.departures().all()) {
+    if (reported_departures_.add(departure)) {
+      shared_.log.info("target_departed", {{"target", departure.id},
+                                           {"born_ms", departure.born_ms},
+                                           {"start_known", departure.start_known}});
+      callbacks_.target_departed(departure);
+    }
   }
 }
 
+void inbound_gateway::check_target_ended(std::function<void()> ended) {
+  end_probe_ =
+      probe_connection(shared_.loop, shared_.options.target.endpoint, connection_probe_timeout,
+                       [ended = std::move(ended)](probe_result result) {
+                         if (result == probe_result::refused) {
+                           ended();
+                         }
+                       });
+}
+
 void inbound_gateway::target_changed() {
-  report_departure();
+  report_departures();
   if (registry_.target().has_value() && registry_.target()->leaving) {
     crash_watch_.target_leaving();
   }
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -26,7 +26,7 @@
     std::function<bool(const inbound_request&)> read_from_sender;
     /// The target has become available, has gone or has begun to leave.
     std::function<void()> status_changed;
-    /// The target has announced its departure.
+    /// A departure of the target has been announced or restored.
     std::function<void(const target_departure&)> target_departed;
     std::function<route_table_pointer()> configuration;
     /// The crash counts of requests have changed here and must be sent to the peers.
@@ -41,8 +41,11 @@
 
   announcement_result announce(const target_announcement& announcement);
   announcement_result withdraw(const target_withdrawal& withdrawal);
-  /// Restores a departure of the target that a peer has kept since before a restart of this daemon.
+  /// Restores a departure of the target that a peer or the store has kept since before a restart of
+  /// this daemon.
   void restore_departure(const target_departure& departure);
+  /// Calls `ended` if nobody listens at the target's address.
+  void check_target_ended(std::function<void()> ended);
   /// Sends a health request to the target, unless a target is already registered.
   void probe_target();
 
@@ -72,7 +75,7 @@
   /// Id of the registered target; empty if there is none.
   [[nodiscard]] std::string target_id() const;
   void target_changed();
-  void report_departure();
+  void report_departures();
   void check_target_silence();
 
   const sidecar_context& shared_;
@@ -85,7 +88,8 @@
   target_crash_watch crash_watch_;
   std::map<std::uint64_t, running_exchange> exchanges_;  ///< Exchanges with the target, by ticket.
   bool takes_requests_ = false;
-  std::optional<target_departure> reported_departure_;
+  target_departures reported_departures_;
+  probe_handle end_probe_;
   time_point last_seen_at_{};  ///< Last heartbeat or response of the target.
   timer_handle silence_timer_;
 };
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -23,7 +23,7 @@
 }
 
 void peer_finder::announce() {
-  const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers), {}};
+  const daemon_entry entry{shared_.self.name, to_string(shared_.options.listen.peers), {}, {}};
   store_.announce_daemon(entry, [this](store_outcome outcome) {
     if (outcome == store_outcome::done) {
       shared_.start.reached(start_phase::entry_stored);
@@ -60,7 +60,7 @@
   }
   if (!listed_) {
     shared_.log.info("daemons_listed", {{"daemons", endpoints_.size()}});
-    first_listed_(listing.daemons);
+    first_listed_(listing);
   }
   listed_ = true;
   shared_.start.reached(start_phase::peers_listed);
--- a/Source/sidecar/peer_finder.h
+++ b/Source/sidecar/peer_finder.h
@@ -16,7 +16,7 @@
 /// the same time at least one finds the other.
 class peer_finder {
  public:
-  using listing_handler = std::function<void(const std::vector<daemon_entry>&)>;
+  using listing_handler = std::function<void(const daemon_listing&)>;
 
   /// `first_listed` is called with the entries of the first listing since the start.
   peer_finder(const sidecar_context& shared, mesh_store& store, peer_mesh& mesh,
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,16 +73,26 @@
   std::string endpoint;  ///< Address on which it accepts links, "address:port".
   /// Requests that are refused because this daemon has counted that they crash their targets.
   std::vector<crash_count> crashing_requests;
+  /// Departures of the target beside this daemon.
+  std::vector<target_departure> departures;
   friend bool operator==(const daemon_entry&, const daemon_entry&) = default;
 };
 
 struct daemon_listing {
   store_outcome outcome = store_outcome::unknown;
   std::vector<daemon_entry> daemons;
+  std::map<instance_name, std::uint64_t> revisions;  ///< Of the entries, where they can be read.
   std::size_t unreadable_entries = 0;  ///< Entries of other writers that were passed over.
   std::string problem;                 ///< Why the listing could not be read.
 };
 
+/// Result of a change of an entry.
+struct daemon_write {
+  store_outcome outcome = store_outcome::unknown;
+  /// Of the entry after the change, or of the one that is there instead; 0 if it is not known.
+  std::uint64_t revision = 0;
+};
+
 /// Calls to the platform's store. Each callback is called exactly once, from the event loop after
 /// the call has returned.
 class mesh_store {
@@ -94,6 +105,7 @@
   using configuration_callback = std::function<void(const configuration_read_result&)>;
   using listing_callback = std::function<void(const daemon_listing&)>;
   using outcome_callback = std::function<void(store_outcome)>;
+  using write_callback = std::function<void(const daemon_write&)>;
 
   virtual void read_configuration(configuration_callback done) = 0;
   /// Closes idle connections, whose other end may no longer respond, so that further calls use new
@@ -105,8 +117,9 @@
   virtual void list_daemons(listing_callback done) = 0;
   /// Creates the entry, or replaces one with another endpoint.
   virtual void announce_daemon(const daemon_entry& entry, outcome_callback done) = 0;
-  /// Replaces an entry that exists.
-  virtual void replace_daemon(const daemon_entry& entry, outcome_callback done) = 0;
+  /// Replaces an entry that exists, if it has the given revision; 0 replaces any.
+  virtual void replace_daemon(const daemon_entry& entry, std::uint64_t revision,
+                              write_callback done) = 0;
   virtual void withdraw_daemon(const instance_name& name, outcome_callback done) = 0;
 };
 
--- a/Source/sidecar/registration_server.cpp
+++ b/Source/sidecar/registration_server.cpp
@@ -8,58 +8,63 @@
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
 
-constexpr const char* name_of(announcement_result result) {
-  switch (result) {
-    case announcement_result::accepted:
-      return "accepted";
-    case announcement_result::repeated:
-      return "repeated";
-    case announcement_result::outdated:
-      return "outdated";
-  }
-  return "";
+void answer(http_exchange& exchange, int status) {
+  exchange.respond({status, {{"Content-Type", "application/json"}}, "{}"});
 }
 
 }  // namespace
 
-registration_server::registration_server(const sidecar_context& shared, inbound_gateway& gateway)
+registration_server::registration_server(const sidecar_context& shared, inbound_gateway& gateway,
+                                         entry_writer& entry)
     : shared_(shared),
       gateway_(gateway),
+      entry_(entry),
       own_address_(to_string(shared.options.target.endpoint)),
       server_(shared.loop, shared.options.listen.registration,
-              [this](const std::shared_ptr<http_exchange>& exchange) { receive(*exchange); }) {}
+              [this](const std::shared_ptr<http_exchange>& exchange) { receive(exchange); }) {}
 
-void registration_server::receive(http_exchange& exchange) {
-  const int status = handle_failure(
-      [&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(decoded, shared_.contract.decode_registration(exchange.request()));
-        const announcement_result result =
-            std::visit([&](const auto& message) { return take(message); }, decoded);
-        if (result == announcement_result::outdated) {
-          shared_.log.info("registration_outdated",
-                           {{"target", exchange.request().target}, {"result", name_of(result)}});
+void registration_server::receive(const std::shared_ptr<http_exchange>& exchange) {
+  handle_failure(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(decoded, shared_.contract.decode_registration(exchange->request()));
+        BOOST_LEAF_AUTO(departs,
+                        std::visit([&](const auto& message) { return take(message); }, decoded));
+        if (departs) {
+          entry_.await_departures([exchange](bool stored) {
+            answer(*exchange, stored ? status_ok : status_unavailable);
+          });
+        } else {
+          answer(*exchange, status_ok);
         }
-        return status_ok;
+        return {};
       },
       [&](const failure& error) {
         shared_.log.warning("registration_refused",
-                            {{"target", exchange.request().target}, {"reason", error.message}});
-        return status_bad_request;
+                            {{"target", exchange->request().target}, {"reason", error.message}});
+        answer(*exchange, status_bad_request);
       });
-  exchange.respond({status, {{"Content-Type", "application/json"}}, "{}"});
 }
 
-announcement_result registration_server::take(const target_announcement& announcement) {
+leaf::result<bool> registration_server::take(const target_announcement& announcement) {
   if (announcement.address != own_address_) {
     // Sent by another process: the target beside this daemon has only one address.
-    return announcement_result::outdated;
+    return false;
   }
-  return gateway_.announce(announcement);
+  log_result(announcement.id, gateway_.announce(announcement));
+  return announcement.draining;
 }
 
-announcement_result registration_server::take(const target_withdrawal& withdrawal) {
-  return gateway_.withdraw(withdrawal);
+leaf::result<bool> registration_server::take(const target_withdrawal& withdrawal) {
+  log_result(withdrawal.id, gateway_.withdraw(withdrawal));
+  return true;
+}
+
+void registration_server::log_result(const std::string& id, announcement_result result) const {
+  if (result == announcement_result::outdated) {
+    shared_.log.info("registration_outdated", {{"target", id}});
+  }
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -68,13 +68,13 @@
           crashes_, log_,    counters_, start_,    {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
+  entry_ = std::make_unique<entry_writer>(shared_, *store_);
   crash_exchange_ = std::make_unique<crash_count_exchange>(
-      shared_, *store_, [this](const std::vector<crash_count>& counts) {
+      shared_, *entry_, [this](const std::vector<crash_count>& counts) {
         mesh_->send_to_all(wire::suspicions{{}, counts});
       });
   finder_ = std::make_unique<peer_finder>(
-      shared_, *store_, *mesh_,
-      [this](const std::vector<daemon_entry>& entries) { crash_exchange_->restore(entries); });
+      shared_, *store_, *mesh_, [this](const daemon_listing& listing) { entries_listed(listing); });
   configurations_ = std::make_unique<configuration_exchange>(
       configuration_context{loop_, random_, log_, counters_}, *store_,
       watcher_group(options_.instance.name, options_.instance.domain),
@@ -100,8 +100,11 @@
           },
           [this] { status_changed(); },
           [this](const target_departure& departure) {
-            departure_received({shared_.self.name, departure.id, departure.born_ms});
-            mesh_->send_to_all(departures_.at(shared_.self.name));
+            const wire::target_departed content{shared_.self.name, departure.id, departure.born_ms,
+                                                departure.start_known};
+            departures_[shared_.self.name].add(departure);
+            mesh_->send_to_all(content);
+            entry_->add_departure(departure);
           },
           [this] { return configurations_->current(); },
           [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); }});
@@ -145,7 +148,7 @@
           answer_metrics(*exchange);
         }
       });
-  registration_ = std::make_unique<registration_server>(shared_, *gateway_);
+  registration_ = std::make_unique<registration_server>(shared_, *gateway_, *entry_);
 }
 
 sidecar_daemon::~sidecar_daemon() = default;
@@ -206,10 +209,7 @@
     // over links that were established then.
     mesh_->send(peer, wire::records{{self_record()}});
     for (const instance_name& instance : {shared_.self.name, peer}) {
-      const auto departure = departures_.find(instance);
-      if (departure != departures_.end()) {
-        mesh_->send(peer, departure->second);
-      }
+      send_departures(peer, instance);
     }
     if (!crashes_.empty()) {
       mesh_->send(peer, wire::suspicions{{}, crashes_.all()});
@@ -339,14 +339,44 @@
                            loop_.now() + record.warmup_left_ms});
 }
 
-void sidecar_daemon::departure_received(const wire::target_departed& content) {
-  wire::target_departed& latest = departures_[content.instance];
-  if (latest.born_ms > content.born_ms) {
+/// Restores what the entries have kept over a restart of all daemons. A daemon that the store turns
+/// away learns its departures from its peers.
+void sidecar_daemon::entries_listed(const daemon_listing& listing) {
+  entry_->restore(listing);
+  for (const target_departure& departure : entry_->departures()) {
+    gateway_->restore_departure(departure);
+  }
+  for (const daemon_entry& entry : listing.daemons) {
+    bool learned = false;
+    for (const target_departure& departure : entry.departures) {
+      learned |=
+          departure_received({entry.name, departure.id, departure.born_ms, departure.start_known});
+    }
+    if (learned && entry.name != shared_.self.name) {
+      send_departures(entry.name, entry.name);
+    }
+  }
+  crash_exchange_->restore(listing.daemons);
+}
+
+bool sidecar_daemon::departure_received(const wire::target_departed& content) {
+  const target_departure departure{content.target_id, content.born_ms, content.start_known};
+  const bool learned = departures_[content.instance].add(departure);
+  if (learned && content.instance == shared_.self.name) {
+    gateway_->restore_departure(departure);
+  }
+  return learned;
+}
+
+/// Sends what is known of the departures at an instance to a peer, if there is a link to it.
+void sidecar_daemon::send_departures(const instance_name& peer, const instance_name& instance) {
+  const auto found = departures_.find(instance);
+  if (found == departures_.end()) {
     return;
   }
-  latest = content;
-  if (content.instance == shared_.self.name) {
-    gateway_->restore_departure({content.target_id, content.born_ms});
+  for (const target_departure& departure : found->second.all()) {
+    mesh_->send(peer, wire::target_departed{instance, departure.id, departure.born_ms,
+                                            departure.start_known});
   }
 }
 
@@ -432,7 +462,12 @@
             {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
   status_changed();
   if (!gateway_->takes_requests()) {
-    finder_->withdraw();
+    // A target that is leaving may run on and send heartbeats to the next process; its departure
+    // must not go with the entry.
+    gateway_->check_target_ended([this] {
+      entry_->close();
+      finder_->withdraw();
+    });
   }
   stop_timer_ = loop_.every(stop_check_interval, [this] { continue_stop(); });
 }
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -7,6 +7,7 @@
 #include "daemon/peer_mesh.h"
 #include "sidecar/configuration_exchange.h"
 #include "sidecar/crash_count_exchange.h"
+#include "sidecar/entry_writer.h"
 #include "sidecar/inbound_gateway.h"
 #include "sidecar/outbound_services.h"
 #include "sidecar/peer_finder.h"
@@ -60,7 +61,10 @@
   void connect_dispatcher();
   void peer_introduced(const instance_name& peer, const instance_record& record);
   void record_received(const instance_name& peer, const instance_record& record);
-  void departure_received(const wire::target_departed& content);
+  void entries_listed(const daemon_listing& listing);
+  /// A departure of the target beside an instance has become known. Returns whether it was new.
+  bool departure_received(const wire::target_departed& content);
+  void send_departures(const instance_name& peer, const instance_name& instance);
   void peer_lost(const instance_name& peer, const std::string& reason);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
@@ -90,6 +94,7 @@
   weighted_rotation rotation_;
   std::map<service_name, retry_window> retries_;
   std::unique_ptr<peer_mesh> mesh_;
+  std::unique_ptr<entry_writer> entry_;
   std::unique_ptr<crash_count_exchange> crash_exchange_;
   std::unique_ptr<peer_finder> finder_;
   std::unique_ptr<configuration_exchange> configurations_;
@@ -103,8 +108,8 @@
   std::unique_ptr<registration_server> registration_;
   /// Incarnation and sequence number of the newest record of each peer.
   std::map<instance_name, std::pair<std::uint64_t, std::uint64_t>> newest_records_;
-  /// Latest departure of the target beside each instance, including this one.
-  std::map<instance_name, wire::target_departed> departures_;
+  /// Departures of the target beside each instance, including this one.
+  std::map<instance_name, target_departures> departures_;
   std::uint64_t record_sequence_ = 1;
   bool stopping_ = false;
   time_point stop_began_{};
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -217,6 +217,7 @@
   instance_name instance;
   std::string target_id;
   std::uint64_t born_ms = 0;  ///< Start time of the target on its own clock, since the Unix epoch.
+  bool start_known = true;    ///< Otherwise `born_ms` is the time of the withdrawal.
   friend bool operator==(const target_departed&, const target_departed&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -179,7 +179,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("instance", &wire::target_departed::instance),
                       required_field("target_id", &wire::target_departed::target_id),
-                      required_field("born_ms", &wire::target_departed::born_ms));
+                      required_field("born_ms", &wire::target_departed::born_ms),
+                      optional_field("start_known", &wire::target_departed::start_known));
 };
 
 template <>
--- a/Tests/mesh/target_registry_test.cpp
+++ b/Tests/mesh/target_registry_test.cpp
@@ -117,29 +117,50 @@
   }
 }
 
+TEST_CASE("the departures at one address merge in any order, and their number is limited",
+          "[mesh][F12]") {
+  target_departures departures;
+  CHECK(departures.add({"b", 200}));
+  CHECK_FALSE(departures.add({"a", 100}));
+  CHECK_FALSE(departures.add({"b", 200}));
+  CHECK(departures.covers("a", 100));
+  CHECK_FALSE(departures.covers("b", 201));
+  CHECK(departures.covers("b", 0));
+  CHECK_FALSE(departures.covers("c", 0));
+  CHECK(departures.add({"d", 900, false}));
+  CHECK(departures.covers("d", 900));
+  CHECK_FALSE(departures.covers("e", 900));
+  for (std::uint64_t number = 0; number < 100; ++number) {
+    CHECK(departures.add({"x" + std::to_string(number), 1'000 + number, false}));
+  }
+  CHECK(departures.all().size() < 10);
+  CHECK(departures.covers("b", 200));
+  CHECK(departures.covers("x99", 1'099));
+}
+
 TEST_CASE("a departure that a peer has kept takes effect after a restart of the daemon",
           "[mesh][P7]") {
   target_registry before;
   REQUIRE(before.announce(announcement("a", 100, 5), at(0)) == announcement_result::accepted);
-  CHECK(before.departure() == std::nullopt);
+  CHECK(before.departures().all().empty());
   REQUIRE(before.withdraw("a", 100, wall_now, at(1)) == announcement_result::accepted);
-  const std::optional<target_departure> departure = before.departure();
-  REQUIRE(departure == target_departure{"a", 100});
+  REQUIRE(before.departures().all() == std::vector{target_departure{"a", 100}});
+  const target_departure departure = before.departures().all().front();
 
   target_registry after;
   SECTION("received before the first heartbeat") {
-    after.restore_departure(*departure, at(2));
+    after.restore_departure(departure, at(2));
     CHECK(after.announce(announcement("a", 100, 4), at(3)) == announcement_result::outdated);
     CHECK_FALSE(after.takes_requests());
   }
   SECTION("received after a delayed heartbeat") {
     CHECK(after.announce(announcement("a", 100, 4), at(2)) == announcement_result::accepted);
-    after.restore_departure(*departure, at(3));
+    after.restore_departure(departure, at(3));
     CHECK_FALSE(after.takes_requests());
   }
   SECTION("a later start is not affected") {
     CHECK(after.announce(announcement("a", 200, 1), at(2)) == announcement_result::accepted);
-    after.restore_departure(*departure, at(3));
+    after.restore_departure(departure, at(3));
     CHECK(after.takes_requests());
   }
 }
--- a/Tests/platform_adapter/odd_entry_test.cpp
+++ b/Tests/platform_adapter/odd_entry_test.cpp
@@ -111,8 +111,8 @@
 TEST_CASE("one odd entry of another writer does not hide the other daemons",
           "[platform_adapter][F7]") {
   event_loop loop;
-  const daemon_entry first{instance_name("a"), "10.0.0.1:7600", {}};
-  const daemon_entry last{instance_name("z"), "10.0.0.2:7600", {}};
+  const daemon_entry first{instance_name("a"), "10.0.0.1:7600", {}, {}};
+  const daemon_entry last{instance_name("z"), "10.0.0.2:7600", {}, {}};
 
   SECTION("whatever it holds and wherever it stands") {
     for (const std::string& odd : odd_entries()) {
@@ -184,18 +184,22 @@
           "[platform_adapter][F6]") {
   event_loop loop;
   const daemon_entry stored{
-      instance_name("a"), "10.0.0.1:7600", {{digest_of("one"), 0, 2}, {digest_of("two"), 7, 3}}};
+      instance_name("a"),
+      "10.0.0.1:7600",
+      {{digest_of("one"), 0, 2}, {digest_of("two"), 7, 3}},
+      {{"i-1", 1'700'000'000'000U, true}, {"i-2", 1'700'000'000'001U, false}}};
 
   SECTION("by any daemon") {
     canned_store server(loop, {"{}"});
     object_store store(loop, {"127.0.0.1", store_port});
-    store.replace_daemon(stored, [&](store_outcome outcome) {
-      CHECK(outcome == store_outcome::done);
+    store.replace_daemon(stored, 7, [&](const daemon_write& result) {
+      CHECK(result.outcome == store_outcome::done);
       loop.stop();
     });
     loop.run();
     REQUIRE(server.received.size() == 1);
     CHECK(read_listed_daemon(server.received[0]).entry == stored);
+    CHECK(read_listed_daemon(server.received[0]).revision == 7);
   }
   SECTION("without those that cannot be read, which do not hide the daemon") {
     const std::string count = encode_value(stored.crashing_requests[0]).dump();
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -28,7 +28,7 @@
 configuration_read_result test_store::current_configuration() const {
   configuration_read_result result;
   result.outcome = store_outcome::refused;
-  if (!contents_.reachable) {
+  if (!reachable()) {
     return result;
   }
   result.outcome = contents_.document.empty() ? store_outcome::not_found : store_outcome::done;
@@ -53,7 +53,7 @@
   ++contents_.waiting;
   contents_.last_watch_revision = revision;
   watch_timer_ = loop_.every(watch_poll, [this, revision, end, done] {
-    if (!contents_.reachable || contents_.revision > revision) {
+    if (!reachable() || contents_.revision > revision) {
       watch_timer_ = nullptr;
       --contents_.waiting;
       done(current_configuration());
@@ -70,7 +70,9 @@
 
 void test_store::list_daemons(listing_callback done) {
   response_timers_.push_back(loop_.after(store_latency, [this, done] {
-    daemon_listing listing{contents_.reachable ? store_outcome::done : store_outcome::refused, {}};
+    daemon_listing listing;
+    listing.outcome = reachable() ? store_outcome::done : store_outcome::refused;
+    listing.revisions = contents_.daemon_revisions;
     for (const auto& [name, entry] : contents_.daemons) {
       listing.daemons.push_back(entry);
     }
@@ -80,22 +82,28 @@
 
 void test_store::announce_daemon(const daemon_entry& entry, outcome_callback done) {
   response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
-    if (contents_.reachable) {
+    if (reachable()) {
       contents_.daemons.try_emplace(entry.name, entry).first->second.endpoint = entry.endpoint;
     }
-    done(contents_.reachable ? store_outcome::done : store_outcome::refused);
+    done(reachable() ? store_outcome::done : store_outcome::refused);
   }));
 }
 
-void test_store::replace_daemon(const daemon_entry& entry, outcome_callback done) {
-  response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
+void test_store::replace_daemon(const daemon_entry& entry, std::uint64_t revision,
+                                write_callback done) {
+  response_timers_.push_back(loop_.after(store_latency, [this, entry, revision, done] {
     const auto found = contents_.daemons.find(entry.name);
-    if (!contents_.reachable || found == contents_.daemons.end()) {
-      done(contents_.reachable ? store_outcome::not_found : store_outcome::refused);
+    if (!reachable() || found == contents_.daemons.end()) {
+      done({reachable() ? store_outcome::not_found : store_outcome::refused, 0});
+      return;
+    }
+    std::uint64_t& current = contents_.daemon_revisions[entry.name];
+    if (revision != 0 && revision != current) {
+      done({store_outcome::conflict, current});
       return;
     }
     found->second = entry;
-    done(store_outcome::done);
+    done({store_outcome::done, ++current});
   }));
 }
 
@@ -108,7 +116,11 @@
 
 test_instance::test_instance(event_loop& loop, store_contents& contents, std::string given_name,
                              const std::string& given_service)
-    : name(std::move(given_name)), service(given_service), loop_(loop), contents_(contents) {
+    : name(std::move(given_name)),
+      id("i-" + name),
+      service(given_service),
+      loop_(loop),
+      contents_(contents) {
   on_request = [this](const std::shared_ptr<http_exchange>& exchange) {
     respond(*exchange, 200, "answer of " + name);
   };
@@ -174,8 +186,9 @@
 
 void test_instance::restart_daemon() {
   daemon = nullptr;
-  daemon = std::make_unique<sidecar_daemon>(loop_, options_, platform::make_contract(),
-                                            std::make_unique<test_store>(loop_, contents_));
+  daemon = std::make_unique<sidecar_daemon>(
+      loop_, options_, platform::make_contract(),
+      std::make_unique<test_store>(loop_, contents_, instance_name(name)));
 }
 
 void test_instance::announce(const std::string& state) {
@@ -183,6 +196,10 @@
 }
 
 void test_instance::announce_with_sequence(const std::string& state, std::uint64_t sequence) {
+  REQUIRE(send_heartbeat(state, sequence) == 200);
+}
+
+int test_instance::send_heartbeat(const std::string& state, std::uint64_t sequence) {
   const json heartbeat = {{"service", service},
                           {"address", "127.0.0.1:" + std::to_string(options_.target.endpoint.port)},
                           {"zone", "a"},
@@ -192,14 +209,27 @@
                           {"warmupLeftMs", 0},
                           {"sequence", sequence},
                           {"born", born_ms_}};
-  bool accepted = false;
-  registration->send({"PUT", "/instances/i-" + name, {}, heartbeat.dump()}, test_limit,
+  return send_registration("PUT", heartbeat);
+}
+
+int test_instance::withdraw() {
+  return send_registration("DELETE", {{"born", born_ms_}});
+}
+
+int test_instance::send_registration(const std::string& method, const json& body) {
+  int status = 0;
+  registration->send({method, "/instances/" + id, {}, body.dump()}, test_limit,
                      [&](const http_result& result) {
-                       accepted = result.response.status == 200;
+                       status = result.response.status;
                        loop_.stop();
                      });
   loop_.run();
-  REQUIRE(accepted);
+  return status;
+}
+
+void test_instance::replace_target(const std::string& new_id) {
+  restart_target();
+  id = new_id;
 }
 
 test_instance& mesh_fixture::add(const std::string& name, const std::string& service) {
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -18,18 +18,21 @@
 /// Contents of the platform's store, kept in the memory of the test.
 struct store_contents {
   bool reachable = true;
+  std::set<instance_name> turned_away;  ///< Daemons that the store refuses.
   std::uint64_t revision = 1;
   int waiting = 0;                        ///< Number of waiting watches.
   std::uint64_t last_watch_revision = 0;  ///< Revision from which the latest watch waits.
   std::string document;
   std::map<instance_name, daemon_entry> daemons;
+  std::map<instance_name, std::uint64_t> daemon_revisions;
 };
 
 /// A client of the store of a test. A watch responds at the end of its wait or within 10 ms after a
 /// change.
 class test_store : public mesh_store {
  public:
-  test_store(event_loop& loop, store_contents& contents) : loop_(loop), contents_(contents) {}
+  test_store(event_loop& loop, store_contents& contents, instance_name client)
+      : loop_(loop), contents_(contents), client_(std::move(client)) {}
 
   void read_configuration(configuration_callback done) override;
   void close_idle_connections() override {}
@@ -37,14 +40,19 @@
                            configuration_callback done) override;
   void list_daemons(listing_callback done) override;
   void announce_daemon(const daemon_entry& entry, outcome_callback done) override;
-  void replace_daemon(const daemon_entry& entry, outcome_callback done) override;
+  void replace_daemon(const daemon_entry& entry, std::uint64_t revision,
+                      write_callback done) override;
   void withdraw_daemon(const instance_name& name, outcome_callback done) override;
 
  private:
+  [[nodiscard]] bool reachable() const {
+    return contents_.reachable && !contents_.turned_away.contains(client_);
+  }
   [[nodiscard]] configuration_read_result current_configuration() const;
 
   event_loop& loop_;
   store_contents& contents_;
+  instance_name client_;
   timer_handle watch_timer_;
   std::vector<timer_handle> response_timers_;
 };
@@ -63,6 +71,14 @@
   void announce(const std::string& state);
   /// Sends a heartbeat with the given sequence number, which may be an earlier one.
   void announce_with_sequence(const std::string& state, std::uint64_t sequence);
+  /// Sends the withdrawal of the target. Returns the status of the response.
+  int withdraw();
+  /// Sends a heartbeat as `announce_with_sequence`. Returns the status of the response.
+  int send_heartbeat(const std::string& state, std::uint64_t sequence);
+  /// Sends a message to the registration address. Returns the status of the response.
+  int send_registration(const std::string& method, const json& body);
+  /// A successor of the target starts at the same address, with an id of its own.
+  void replace_target(const std::string& new_id);
   /// Replaces the daemon by a newly constructed one, as after a crash.
   void restart_daemon();
   /// Ends the target with all its connections and refuses new ones.
@@ -76,6 +92,7 @@
   [[nodiscard]] const ip_endpoint& metrics_endpoint() const { return options_.listen.metrics; }
 
   std::string name;
+  std::string id;  ///< Of the target.
   std::string service;
   std::vector<http_request> received;  ///< Requests that the target has received.
   behaviour on_request;
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -66,7 +66,7 @@
                            configuration_callback done) override;
   void list_daemons(listing_callback) override {}
   void announce_daemon(const daemon_entry&, outcome_callback) override {}
-  void replace_daemon(const daemon_entry&, outcome_callback) override {}
+  void replace_daemon(const daemon_entry&, std::uint64_t, write_callback) override {}
   void withdraw_daemon(const instance_name&, outcome_callback) override {}
 
   /// Nothing arrives any more on the open connections; new connections work.
