Record the withdrawal of a target whatever else is registered

What callers saw: an upstream crashed, its successor left half a second after its start, and its DELETE was answered 200.

Cause: target_registry::withdraw returned `outdated` and recorded nothing if another id was registered, also for a later start, and the registration server answered 200 whatever the result was. For a new start under the same id it recorded the start of the one before.

Change: a withdrawal is recorded for the start that it states, whatever is registered; a registered target of an earlier start leaves with it, a later one is not affected. A draining heartbeat that arrives after a later heartbeat of its start is recorded too. A heartbeat with another address than that of the target beside the daemon is refused with 400: its 200 recorded nothing.

--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -24,6 +24,9 @@
     const auto newest_order = std::tie(newest.born_ms, newest.sequence);
     const auto received_order = std::tie(announcement.born_ms, announcement.sequence);
     if (received_order < newest_order) {
+      if (announcement.draining) {
+        record_departure({announcement.id, announcement.born_ms}, now);
+      }
       return announcement_result::outdated;
     }
     if (received_order == newest_order) {
@@ -51,9 +54,6 @@
 announcement_result target_registry::withdraw(const std::string& id,
                                               std::optional<std::uint64_t> born_ms,
                                               std::uint64_t wall_now_ms, time_point now) {
-  if (target_.has_value() && target_->announcement.id != id) {
-    return announcement_result::outdated;
-  }
   const std::uint64_t registered_born_ms = target_.has_value() ? target_->announcement.born_ms : 0;
   const bool later_registered = born_ms.has_value() && *born_ms < registered_born_ms;
   if (!born_ms.has_value() && target_.has_value() && target_->announcement.id == id &&
--- a/Source/sidecar/registration_server.cpp
+++ b/Source/sidecar/registration_server.cpp
@@ -49,8 +49,9 @@
 
 leaf::result<bool> registration_server::take(const target_announcement& announcement) {
   if (announcement.address != own_address_) {
-    // Sent by another process: the target beside this daemon has only one address.
-    return false;
+    return leaf::new_error(
+        failure{error_code::malformed,
+                "the target beside this daemon has another address than " + announcement.address});
   }
   log_result(announcement.id, gateway_.announce(announcement));
   return announcement.draining;
--- a/Tests/mesh/target_registry_test.cpp
+++ b/Tests/mesh/target_registry_test.cpp
@@ -117,6 +117,64 @@
   }
 }
 
+TEST_CASE("a withdrawal is recorded whatever else is registered", "[mesh][P7]") {
+  // Failure guarded against: a target whose first heartbeat came after its acknowledged withdrawal
+  // got requests, because its predecessor was still registered (review/3).
+  target_registry registry;
+  REQUIRE(registry.announce(announcement("a", 100, 5), at(0)) == announcement_result::accepted);
+  const auto expect_departed = [&](const std::string& id, std::uint64_t born) {
+    CHECK(registry.announce(announcement(id, born, 1), at(9)) == announcement_result::outdated);
+    CHECK_FALSE(registry.takes_requests());
+    CHECK(registry.announce(announcement("next", born + 1'000, 1), at(9)) ==
+          announcement_result::accepted);
+    CHECK(registry.takes_requests());
+  };
+
+  SECTION("a predecessor under another id") {
+    CHECK(registry.withdraw("b", 200, wall_now, at(1)) == announcement_result::accepted);
+    CHECK_FALSE(registry.takes_requests());
+    expect_departed("b", 200);
+  }
+  SECTION("an earlier start under the same id") {
+    CHECK(registry.withdraw("a", 200, wall_now, at(1)) == announcement_result::accepted);
+    CHECK_FALSE(registry.takes_requests());
+    expect_departed("a", 200);
+  }
+  SECTION("another target, and the withdrawal states no start") {
+    CHECK(registry.withdraw("b", std::nullopt, wall_now, at(1)) == announcement_result::accepted);
+    CHECK(registry.takes_requests());
+    CHECK(registry.announce(announcement("b", 200, 1), at(2)) == announcement_result::outdated);
+    CHECK(registry.target()->announcement.id == "a");
+
+    SECTION("which does not affect the starts of other targets after a restart of the daemon") {
+      target_registry restarted;
+      for (const target_departure& departure : registry.departures().all()) {
+        restarted.restore_departure(departure, at(3));
+      }
+      CHECK(restarted.announce(announcement("b", 200, 1), at(4)) == announcement_result::outdated);
+      CHECK(restarted.announce(announcement("a", 100, 6), at(4)) == announcement_result::accepted);
+    }
+  }
+  SECTION("two successors, which leave one after the other") {
+    CHECK(registry.withdraw("b", 200, wall_now, at(1)) == announcement_result::accepted);
+    CHECK(registry.withdraw("c", 300, wall_now, at(2)) == announcement_result::accepted);
+    CHECK(registry.announce(announcement("b", 200, 1), at(3)) == announcement_result::outdated);
+    expect_departed("c", 300);
+  }
+  SECTION("a later start, which is not affected") {
+    REQUIRE(registry.announce(announcement("b", 200, 1), at(1)) == announcement_result::accepted);
+    CHECK(registry.withdraw("a", 100, wall_now, at(2)) == announcement_result::outdated);
+    CHECK(registry.takes_requests());
+    CHECK(registry.departures().all() == std::vector{target_departure{"a", 100}});
+  }
+  SECTION("a draining heartbeat that arrives after a later one of the same start") {
+    target_announcement draining = announcement("a", 100, 4);
+    draining.draining = true;
+    CHECK(registry.announce(draining, at(1)) == announcement_result::outdated);
+    CHECK_FALSE(registry.takes_requests());
+  }
+}
+
 TEST_CASE("the departures at one address merge in any order, and their number is limited",
           "[mesh][F12]") {
   target_departures departures;
--- a/Tests/sidecar/departure_test.cpp
+++ b/Tests/sidecar/departure_test.cpp
@@ -113,6 +113,33 @@
   }
 }
 
+TEST_CASE("an acknowledged departure of a target that was not registered binds", "[sidecar][P7]") {
+  // Failure guarded against: the first heartbeat of a target came after its acknowledged
+  // withdrawal and brought requests to it, because its crashed predecessor was still registered
+  // (review/3).
+  leaving_mesh test;
+
+  SECTION("under a new id") {
+    test.leaving.replace_target("i-new");
+  }
+  SECTION("under the id of its predecessor") {
+    test.leaving.restart_target();
+  }
+  CHECK(test.leaving.withdraw() == status_ok);
+  CHECK(test.leaving.send_heartbeat("ready", 1) == status_ok);
+  test.expect_no_requests();
+}
+
+TEST_CASE("a departure of a target at another address is not acknowledged", "[sidecar][P7]") {
+  leaving_mesh test;
+  const json draining = {
+      {"service", "s"}, {"address", "127.0.0.1:1"}, {"zone", "a"},       {"version", "v1"},
+      {"capacity", 4},  {"state", "draining"},      {"warmupLeftMs", 0}, {"sequence", 1},
+      {"born", 1}};
+  CHECK(test.leaving.send_registration("PUT", draining) == 400);
+  test.expect_requests();
+}
+
 TEST_CASE("a planned stop keeps the departure of a target that runs on", "[sidecar][P7]") {
   leaving_mesh test;
   CHECK(test.leaving.withdraw() == status_ok);
