Count the end of a cancelled exchange with counts that exist

Cause: when a target's connection and the caller's are reset in the same turn of the loop, the exchange is cancelled after its end has been noticed and before it is handled. Its counts are an empty vector then, of which known_crashes (new with the features of a request) took the first element.

Change: the counts are zero then, as before.

Test: "a caller that leaves while its target ends does not end the daemon" ended with SIGSEGV in its third round and passes now.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -223,17 +223,20 @@
 }
 
 /// The counts of a lost request when it began to run. If it has become suspected since, its
-/// features are counted from now on.
+/// features are counted from now on. They are zero if the exchange was cancelled after its end had
+/// been noticed.
 std::vector<crash_count> inbound_gateway::known_crashes(const inbound_request& request,
                                                         const running_exchange& ended) const {
   std::vector<crash_count> known = shared_.crashes.counts(identify(shared_, request.call));
   if (ended.known.size() == known.size()) {
     return ended.known;
   }
-  known.front() = ended.known.front();
-  for (auto feature = known.begin() + 1; feature != known.end(); ++feature) {
-    feature->clearings = 0;
-    feature->crashes = 0;
+  for (crash_count& count : known) {
+    count.clearings = 0;
+    count.crashes = 0;
+  }
+  if (!ended.known.empty()) {
+    known.front() = ended.known.front();
   }
   return known;
 }
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -362,6 +362,46 @@
   CHECK(std::count(statuses.end() - last, statuses.end(), 200) == last);
 }
 
+TEST_CASE("a caller that leaves while its target ends does not end the daemon", "[sidecar][F6]") {
+  // Failure guarded against: the end of an exchange that had been cancelled in the meantime was
+  // counted with counts that did not exist.
+  mesh_fixture mesh;
+  test_instance& instance = mesh.add("a", "s");
+  mesh.configure(1, "s");
+  mesh.start();
+  // Each end comes in one of the next turns of the loop, in all combinations.
+  constexpr int turns = 5;
+  constexpr int rounds = turns * turns;
+  int received = 0;
+  http_call call;
+  const std::function<void(int, std::function<void()>)> run_after_turns =
+      [&](int count, const std::function<void()>& action) {
+        if (count == 0) {
+          action();
+        } else {
+          mesh.loop.post([&, count, action] { run_after_turns(count - 1, action); });
+        }
+      };
+  instance.on_request = [&](const std::shared_ptr<http_exchange>& exchange) {
+    ++received;
+    run_after_turns(received % turns, [exchange] { exchange->close(); });
+    run_after_turns(received / turns, [&] { instance.caller->cancel(call); });
+  };
+  for (int round = 1; round <= rounds; ++round) {
+    call = instance.caller->send({"GET",
+                                  "/safe/" + std::to_string(round),
+                                  {{"Host", "h.example"},
+                                   {"X-Attempt-Id", "left-" + std::to_string(round)},
+                                   {"X-Deadline-Ms", "1000"}},
+                                  ""},
+                                 seconds(3), [](const http_result&) {});
+    REQUIRE(mesh.run_until([&] { return received == round; }));
+    mesh.run_for(milliseconds(20), [] { return false; });
+    instance.announce("ready");
+  }
+  CHECK(instance.daemon->ready());
+}
+
 TEST_CASE("a popular request that is in flight whenever a target crashes is still served",
           "[sidecar][F6]") {
   mesh_fixture mesh;
