Do not refuse the requests that were only in flight with a crashing one

Cause: several values of a header may have the most crashes, of which one is that of the crashing caller; all of them were refused.

Change: such a tie refuses nobody. Those that were only in flight complete, and their counts are reset; the next crash then tells the crashing caller. Two callers that both crash targets cost one more crash.

Test: the section "if others are in flight at each of its first crashes" failed before and passes now. The test of the mesh delays the others' responses now and plays both callers at one machine as well; it did not fail before.

--- a/Source/suspicion/crash_counts.cpp
+++ b/Source/suspicion/crash_counts.cpp
@@ -117,12 +117,14 @@
     return left;
   }
   // The groups with the most crashes tell the crashing caller from others: a value of each of them
-  // must have crashed targets that often in this request, too.
+  // must have crashed targets that often in this request, too. If several values of a group have
+  // the most crashes, some were only in flight, which shows as soon as they complete.
   const std::int32_t needed = std::min(features.most_crashes, refusal_crashes);
   std::map<digest, bool> group_matches;
   for (const entry* known : features.counted) {
-    if (known->count.crashes == features.most_crashes) {
-      group_matches.try_emplace(known->count.group, false);
+    if (known->count.crashes == features.most_crashes &&
+        !group_matches.try_emplace(known->count.group, false).second) {
+      return duration::zero();
     }
   }
   for (const entry* known : features.counted) {
--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -144,6 +144,31 @@
   }
 }
 
+/// Delays the targets' responses to requests that do not crash them, so that these are in flight
+/// when others do.
+class other_responses {
+ public:
+  explicit other_responses(mesh_fixture& mesh) : mesh_(mesh) {
+    for (const auto& instance : mesh.instances) {
+      const test_instance::behaviour crash_or_respond = instance->on_request;
+      instance->on_request = [this, crash_or_respond](const auto& exchange) {
+        if (header_value(exchange->request().headers, user_header) == crashing_user) {
+          crash_or_respond(exchange);
+          return;
+        }
+        timers_.push_back(mesh_.loop.after(
+            response_time, [crash_or_respond, exchange] { crash_or_respond(exchange); }));
+      };
+    }
+  }
+
+ private:
+  static constexpr duration response_time = milliseconds(40);
+
+  mesh_fixture& mesh_;
+  std::vector<timer_handle> timers_;
+};
+
 /// Callers that send other requests, a number of them at a time, and the targets' responses to
 /// them, which take a while.
 class other_requests {
@@ -327,6 +352,7 @@
   mesh_fixture mesh;
   start_instances(mesh, 5);
   crashing_targets targets(mesh);
+  const other_responses delayed(mesh);
   const bool traced = GENERATE(false, true);
   INFO("each sending has a header of its own: " << traced);
   int sent = 0;
@@ -343,13 +369,15 @@
                         [done](const http_result& result) { done(result.response.status); });
   };
   std::vector<int> statuses;
+  const bool same_origin = GENERATE(false, true);
+  INFO("all requests begin at the same machine: " << same_origin);
   const timer_handle others = mesh.loop.every(others_interval, [&] {
     send(*mesh.instances[1], "2", [&](int status) { statuses.push_back(status); });
   });
   const time_point end = mesh.loop.now() + 2 * contact_time + seconds(1);
   int crashing_status = 0;
   for (std::size_t repeat = 0; mesh.loop.now() < end; ++repeat) {
-    send(*mesh.instances[repeat % mesh.instances.size()], crashing_user,
+    send(*mesh.instances[same_origin ? 1 : repeat % mesh.instances.size()], crashing_user,
          [&](int status) { crashing_status = status; });
     mesh.run_for(repeat_interval, [] { return false; });
     targets.announce_returned();
--- a/Tests/suspicion/crash_counts_test.cpp
+++ b/Tests/suspicion/crash_counts_test.cpp
@@ -145,6 +145,17 @@
     }
     now_ += 1s;
   }
+  /// One target ends while it runs both requests.
+  void crash_together(const repeated_request& first, const repeated_request& second) {
+    std::vector<crash_count> lost = counts.counts(first);
+    for (const crash_count& known : counts.counts(second)) {
+      lost.push_back(known);
+    }
+    for (const crash_count& known : lost) {
+      counts.crashed(known.request, known, now_);
+    }
+    now_ += 1s;
+  }
   void complete(const repeated_request& request) {
     for (const crash_count& known : counts.counts(request)) {
       counts.completed(known.request, now_);
@@ -204,6 +215,17 @@
     CHECK(test.refused(callers::request_of("17")));
     CHECK_FALSE(test.refused(callers::request_of("2")));
   }
+  SECTION("if others are in flight at each of its first crashes: they are still served") {
+    // Failure guarded against: both were refused, and the other could not complete any more.
+    for (int crash = 0; crash < 3; ++crash) {
+      test.crash_together(callers::request_of("17"), callers::request_of("2"));
+    }
+    CHECK_FALSE(test.refused(callers::request_of("2")));
+    test.complete(callers::request_of("2"));
+    test.crash(callers::request_of("17"));
+    CHECK(test.refused(callers::request_of("17")));
+    CHECK_FALSE(test.refused(callers::request_of("2")));
+  }
   SECTION("and is served again once it completes") {
     for (int crash = 0; crash < 3; ++crash) {
       test.crash(callers::request_of("17"));
