Test that a late write of the store does not undo a departure

The store may execute a call without a response seconds later. The store of the tests can execute changes late and gives each entry a revision.

--- a/Tests/sidecar/departure_test.cpp
+++ b/Tests/sidecar/departure_test.cpp
@@ -113,6 +113,20 @@
   }
 }
 
+TEST_CASE("a write that the store executes late does not undo a departure", "[sidecar][P7]") {
+  // Failure guarded against: a write whose response was given up replaced the entry seconds later
+  // by one without the departures acknowledged since.
+  leaving_mesh test;
+  test.mesh.store.late_writes = 1;
+  CHECK(test.leaving.withdraw() == status_ok);
+  test.leaving.replace_target("i-next");
+  CHECK(test.leaving.withdraw() == status_ok);
+  test.mesh.run_for(std::chrono::milliseconds(800), [] { return false; });
+  test.restart_all_daemons();
+  CHECK(test.leaving.send_heartbeat("ready", 1) == status_ok);
+  test.expect_no_requests();
+}
+
 TEST_CASE("an acknowledged departure of a target that was not registered binds", "[sidecar][P7]") {
   // Failure guarded against: the first heartbeat of a target came after its acknowledged
   // withdrawal and brought requests to it, because its crashed predecessor was still registered
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr duration store_latency = std::chrono::milliseconds(1);
+/// A change without a response is executed this late.
+constexpr duration late_write_delay = std::chrono::milliseconds(400);
 constexpr duration watch_poll = std::chrono::milliseconds(10);
 /// Longer than any wait in the tests, so that it only ends a test that does not make progress.
 constexpr duration test_limit = std::chrono::seconds(20);
@@ -84,6 +86,7 @@
   response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
     if (reachable()) {
       contents_.daemons.try_emplace(entry.name, entry).first->second.endpoint = entry.endpoint;
+      contents_.daemon_revisions.try_emplace(entry.name, 1);
     }
     done(reachable() ? store_outcome::done : store_outcome::refused);
   }));
@@ -91,20 +94,30 @@
 
 void test_store::replace_daemon(const daemon_entry& entry, std::uint64_t revision,
                                 write_callback done) {
-  response_timers_.push_back(loop_.after(store_latency, [this, entry, revision, done] {
-    const auto found = contents_.daemons.find(entry.name);
-    if (!reachable() || found == contents_.daemons.end()) {
-      done({reachable() ? store_outcome::not_found : store_outcome::refused, 0});
-      return;
-    }
-    std::uint64_t& current = contents_.daemon_revisions[entry.name];
-    if (revision != 0 && revision != current) {
-      done({store_outcome::conflict, current});
-      return;
-    }
-    found->second = entry;
-    done({store_outcome::done, ++current});
-  }));
+  if (contents_.late_writes > 0) {
+    --contents_.late_writes;
+    response_timers_.push_back(
+        loop_.after(late_write_delay, [this, entry, revision] { (void)write(entry, revision); }));
+    response_timers_.push_back(loop_.after(store_latency, [done] {
+      done({store_outcome::unknown, 0});
+    }));
+    return;
+  }
+  response_timers_.push_back(
+      loop_.after(store_latency, [this, entry, revision, done] { done(write(entry, revision)); }));
+}
+
+daemon_write test_store::write(const daemon_entry& entry, std::uint64_t revision) {
+  const auto found = contents_.daemons.find(entry.name);
+  if (!reachable() || found == contents_.daemons.end()) {
+    return {reachable() ? store_outcome::not_found : store_outcome::refused, 0};
+  }
+  std::uint64_t& current = contents_.daemon_revisions[entry.name];
+  if (revision != 0 && revision != current) {
+    return {store_outcome::conflict, current};
+  }
+  found->second = entry;
+  return {store_outcome::done, ++current};
 }
 
 void test_store::withdraw_daemon(const instance_name& entry, outcome_callback done) {
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -19,6 +19,8 @@
 struct store_contents {
   bool reachable = true;
   std::set<instance_name> turned_away;  ///< Daemons that the store refuses.
+  /// Number of further changes of entries that get no response and are executed late.
+  int late_writes = 0;
   std::uint64_t revision = 1;
   int waiting = 0;                        ///< Number of waiting watches.
   std::uint64_t last_watch_revision = 0;  ///< Revision from which the latest watch waits.
@@ -49,6 +51,7 @@
     return contents_.reachable && !contents_.turned_away.contains(client_);
   }
   [[nodiscard]] configuration_read_result current_configuration() const;
+  [[nodiscard]] daemon_write write(const daemon_entry& entry, std::uint64_t revision);
 
   event_loop& loop_;
   store_contents& contents_;
