Restart all daemons of a test mesh in one place

The tests of departures and of crashing requests each had the loops that end all daemons, start them again and wait until they are ready; mesh_fixture has them now. Assertions are unchanged.

--- a/Tests/sidecar/crashing_request_test.cpp
+++ b/Tests/sidecar/crashing_request_test.cpp
@@ -127,14 +127,8 @@
 
 /// Ends all daemons at once and waits until their successors are linked and know their targets.
 void restart_all_daemons(mesh_fixture& mesh) {
+  mesh.restart_all_daemons();
   for (const auto& instance : mesh.instances) {
-    instance->restart_daemon();
-  }
-  for (const auto& instance : mesh.instances) {
-    instance->daemon->start();
-  }
-  for (const auto& instance : mesh.instances) {
-    REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
     instance->announce("ready");
   }
   for (const auto& instance : mesh.instances) {
--- a/Tests/sidecar/departure_test.cpp
+++ b/Tests/sidecar/departure_test.cpp
@@ -16,19 +16,6 @@
     mesh.start();
   }
 
-  /// Ends all daemons at once and starts them again.
-  void restart_all_daemons() {
-    for (const auto& instance : mesh.instances) {
-      instance->restart_daemon();
-    }
-    for (const auto& instance : mesh.instances) {
-      instance->daemon->start();
-    }
-    for (const auto& instance : mesh.instances) {
-      REQUIRE(mesh.run_until([&] { return instance->daemon->ready(); }));
-    }
-  }
-
   void expect_no_requests() {
     CHECK_FALSE(mesh.run_for(
         heartbeat_time, [&] { return origin.daemon->available_upstreams(service_name("s")) > 0; }));
@@ -57,20 +44,20 @@
 
   SECTION("of a target that has withdrawn") {
     CHECK(test.leaving.withdraw() == status_ok);
-    test.restart_all_daemons();
+    test.mesh.restart_all_daemons();
     CHECK(test.leaving.send_heartbeat("ready", late_sequence) == status_ok);
     test.expect_no_requests();
   }
   SECTION("of a target that drains") {
     CHECK(test.leaving.send_heartbeat("draining", late_sequence) == status_ok);
-    test.restart_all_daemons();
+    test.mesh.restart_all_daemons();
     CHECK(test.leaving.send_heartbeat("ready", late_sequence - 1) == status_ok);
     test.expect_no_requests();
   }
   SECTION("again and again") {
     CHECK(test.leaving.withdraw() == status_ok);
     for (int restart = 0; restart < 3; ++restart) {
-      test.restart_all_daemons();
+      test.mesh.restart_all_daemons();
     }
     CHECK(test.leaving.send_heartbeat("ready", late_sequence) == status_ok);
     test.expect_no_requests();
@@ -89,7 +76,7 @@
   }
   SECTION("and not the next start of the target") {
     CHECK(test.leaving.withdraw() == status_ok);
-    test.restart_all_daemons();
+    test.mesh.restart_all_daemons();
     test.leaving.restart_target();
     test.leaving.announce("ready");
     test.expect_requests();
@@ -107,7 +94,7 @@
   SECTION("and is acknowledged when its target asks again") {
     test.mesh.store.reachable = true;
     CHECK(test.leaving.withdraw() == status_ok);
-    test.restart_all_daemons();
+    test.mesh.restart_all_daemons();
     CHECK(test.leaving.send_heartbeat("ready", 1) == status_ok);
     test.expect_no_requests();
   }
@@ -122,7 +109,7 @@
   test.leaving.replace_target("i-next");
   CHECK(test.leaving.withdraw() == status_ok);
   test.mesh.run_for(std::chrono::milliseconds(800), [] { return false; });
-  test.restart_all_daemons();
+  test.mesh.restart_all_daemons();
   CHECK(test.leaving.send_heartbeat("ready", 1) == status_ok);
   test.expect_no_requests();
 }
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -310,6 +310,18 @@
   return names;
 }
 
+void mesh_fixture::restart_all_daemons() {
+  for (const auto& instance : instances) {
+    instance->restart_daemon();
+  }
+  for (const auto& instance : instances) {
+    instance->daemon->start();
+  }
+  for (const auto& instance : instances) {
+    REQUIRE(run_until([&] { return instance->daemon->ready(); }));
+  }
+}
+
 void mesh_fixture::start() {
   for (const auto& instance : instances) {
     instance->daemon->start();
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -127,6 +127,8 @@
                  std::chrono::milliseconds timeout = std::chrono::milliseconds(2'000));
   /// Starts all instances and waits until they are ready and each has all upstreams.
   void start();
+  /// Ends all daemons at once, starts them again and waits until they are ready.
+  void restart_all_daemons();
   http_result call(test_instance& origin, const std::string& method, const std::string& path,
                    const std::string& body = "");
   bool run_until(const std::function<bool()>& condition);
