Move the stop of a sidecar into a class of its own

The last steps, which end a process after a quiet time or at a limit, stood in mesh_daemon as well; both use stop_watch now. No behaviour is changed.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -316,15 +316,10 @@
 /// over the accepted ones have their responses.
 void mesh_daemon::stop() {
   caller_server_->stop_accepting();
-  const time_point began = loop_.now();
-  last_busy_at_ = began;
-  review_timer_ = loop_.every(stop_check_interval, [this, began] {
-    const time_point now = loop_.now();
+  stop_watch_.emplace(loop_.now(), flush_time, loop_.now() + stop_limit);
+  review_timer_ = loop_.every(stop_check_interval, [this] {
     caller_server_->close_idle();
-    if (caller_server_->active() > 0) {
-      last_busy_at_ = now;
-    }
-    if (now - last_busy_at_ >= flush_time || now - began >= stop_limit) {
+    if (stop_watch_->may_end(caller_server_->active() > 0, loop_.now())) {
       loop_.stop();
     }
   });
--- a/Source/daemon/mesh_daemon.h
+++ b/Source/daemon/mesh_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/random_source.h"
@@ -13,6 +14,7 @@
 #include "daemon/peer_mesh.h"
 #include "daemon/run_once_service.h"
 #include "daemon/settings.h"
+#include "daemon/stop_watch.h"
 #include "daemon/target_gateway.h"
 #include "daemon/trace_recorder.h"
 #include "platform/platform_client.h"
@@ -87,7 +89,7 @@
   bool shards_assigned_ = false;
   bool draining_ = false;
   bool stopped_ = false;
-  time_point last_busy_at_{};  ///< When a caller's request was last in progress after the drain.
+  std::optional<stop_watch> stop_watch_;
   time_point drain_deadline_{};
   timer_handle review_timer_;
 };
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -36,16 +36,6 @@
 /// Interval of the log lines about the traffic to other daemons.
 constexpr duration traffic_log_interval = std::chrono::seconds(10);
 
-constexpr duration stop_check_interval = std::chrono::milliseconds(50);
-/// Callers check readiness once a second and keep using a daemon until two checks have failed.
-constexpr duration unready_notice_time = std::chrono::milliseconds(2'300);
-/// For this long, responses close their connections before idle connections are closed, too.
-constexpr duration close_notice_time = std::chrono::milliseconds(700);
-/// Part of the time to stop that is reserved for sending the last responses.
-constexpr duration stop_reserve = std::chrono::milliseconds(600);
-/// When no request has been in progress for this long, the last responses have been sent.
-constexpr duration flush_time = std::chrono::milliseconds(150);
-
 std::uint64_t start_incarnation() {
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
@@ -123,7 +113,7 @@
                             }});
   services_ = std::make_unique<outbound_services>(outbound_services{
       shared_, *router_, upstreams_, rotation_, retries_,
-      [this] { return configurations_->current(); }, [this] { return end_of_process(); },
+      [this] { return configurations_->current(); }, [this] { return stop_->end_of_process(); },
       [this] { return finder_->daemon_count(); },
       [this](const instance_name& to, const std::vector<crash_count>& counts) {
         if (to != shared_.self.name) {
@@ -135,6 +125,8 @@
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
       });
+  stop_ = std::make_unique<planned_stop>(
+      planned_stop::context{loop_, log_, *callers_, gateway_->work()}, options_.bounds.stop_s);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
@@ -182,7 +174,7 @@
   self.peer_port = options_.listen.peers.port;
   self.api_port = options_.listen.metrics.port;
   self.state = gateway_->takes_requests() ? instance_state::ready : instance_state::starting;
-  if (stopping_) {
+  if (stop_->begun()) {
     self.state = instance_state::draining;
   }
   if (const auto& target = gateway_->registry().target()) {
@@ -421,7 +413,7 @@
 }
 
 bool sidecar_daemon::ready() const {
-  return !stopping_ && configurations_->current() != nullptr &&
+  return !stop_->begun() && configurations_->current() != nullptr &&
          (finder_->listed() || !mesh_->linked_peers().empty());
 }
 
@@ -451,16 +443,11 @@
 }
 
 void sidecar_daemon::begin_stop() {
-  if (stopping_) {
+  if (stop_->begun()) {
     return;
   }
-  stopping_ = true;
-  stop_began_ = loop_.now();
-  last_busy_at_ = stop_began_;
+  stop_->begin();
   configurations_->leave();
-  gateway_->work().end_at(*end_of_process());
-  log_.info("stop_began",
-            {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
   status_changed();
   if (!gateway_->takes_requests()) {
     // A target that is leaving may run on and send heartbeats to the next process; its departure
@@ -470,41 +457,6 @@
       finder_->withdraw();
     });
   }
-  stop_timer_ = loop_.every(stop_check_interval, [this] { continue_stop(); });
-}
-
-std::optional<time_point> sidecar_daemon::end_of_process() const {
-  return stopping_ ? std::optional(stop_began_ + options_.bounds.stop_s - stop_reserve)
-                   : std::nullopt;
-}
-
-void sidecar_daemon::continue_stop() {
-  const duration elapsed = loop_.now() - stop_began_;
-  if (elapsed < unready_notice_time) {
-    return;
-  }
-  callers_->announce_close();
-  if (elapsed < unready_notice_time + close_notice_time) {
-    return;
-  }
-  // Requests read from now on could not be completed before the process is killed.
-  callers_->stop_accepting();
-  callers_->close_idle();
-  if (!idle()) {
-    last_busy_at_ = loop_.now();
-  }
-  if (loop_.now() - last_busy_at_ >= flush_time || loop_.now() >= end_of_process()) {
-    finish_stop();
-  }
-}
-
-bool sidecar_daemon::idle() const {
-  return callers_->active() == 0 && gateway_->work().active() == 0;
-}
-
-void sidecar_daemon::finish_stop() {
-  log_.info("stopped", {{"callers", callers_->active()}, {"running", gateway_->work().active()}});
-  loop_.stop();
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -2,7 +2,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 
 #include "daemon/peer_mesh.h"
 #include "sidecar/configuration_exchange.h"
@@ -11,6 +10,7 @@
 #include "sidecar/inbound_gateway.h"
 #include "sidecar/outbound_services.h"
 #include "sidecar/peer_finder.h"
+#include "sidecar/planned_stop.h"
 #include "sidecar/registration_server.h"
 #include "sidecar/sidecar_context.h"
 #include "sidecar/suspicion_api.h"
@@ -73,11 +73,6 @@
   void answer_metrics(http_exchange& exchange);
   void log_traffic();
   void measure_loop_delay();
-  /// Time at which a stop ends even if requests are in progress; empty if no stop has begun.
-  [[nodiscard]] std::optional<time_point> end_of_process() const;
-  void continue_stop();
-  void finish_stop();
-  [[nodiscard]] bool idle() const;
 
   event_loop& loop_;
   sidecar_settings options_;
@@ -102,6 +97,7 @@
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
+  std::unique_ptr<planned_stop> stop_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<suspicion_api> suspicion_api_;
   std::unique_ptr<http_server> metrics_server_;
@@ -111,10 +107,6 @@
   /// Departures of the target beside each instance, including this one.
   std::map<instance_name, target_departures> departures_;
   std::uint64_t record_sequence_ = 1;
-  bool stopping_ = false;
-  time_point stop_began_{};
-  time_point last_busy_at_{};  ///< When a request was last in progress during a stop.
-  timer_handle stop_timer_;
   timer_handle traffic_log_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
