Report responses that end unsent and count them during a stop

New: response_undelivered with the cause and the bytes, responses_unsent for links, crocusdoor_undelivered_responses_total, crocusdoor_unsent_response_bytes, and unsent_responses, unsent_bytes and links_with_responses in stop_began and stopped. What the client's kernel has not acknowledged counts (SIOCOUTQ), not the buffer of libevent alone. Nothing is decided by it yet.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -63,6 +63,9 @@
                       "Exchanges lost with their connection to the target, by what became known")),
       crash_count_resets_(make_family(registry_, "crocusdoor_crash_count_resets_total",
                                       "Crash counts of requests that were reset, by cause")),
+      undelivered_responses_(make_family(
+          registry_, "crocusdoor_undelivered_responses_total",
+          "Responses not acknowledged before their connection or link ended, by receiver")),
       configuration_offers_(
           make_family(registry_, "crocusdoor_configuration_offers_total",
                       "Configuration versions offered to this instance by result")),
@@ -135,6 +138,10 @@
   crash_count_resets_->Add({{"cause", cause}}).Increment();
 }
 
+void metrics::count_undelivered_response(const std::string& receiver, const std::string& cause) {
+  undelivered_responses_->Add({{"receiver", receiver}, {"cause", cause}}).Increment();
+}
+
 void metrics::count_configuration_offer(const std::string& result) {
   configuration_offers_->Add({{"result", result}}).Increment();
 }
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -39,6 +39,8 @@
   void count_lost_exchanges(const std::string& result, std::size_t exchanges);
   /// Counts a crash count of a request that this daemon has reset, by the cause.
   void count_crash_count_reset(const std::string& cause);
+  /// Counts a response whose connection or link ended before the receiver had acknowledged it.
+  void count_undelivered_response(const std::string& receiver, const std::string& cause);
   void count_configuration_offer(const std::string& result);
   /// Counts a step to get a version that a peer has reported and that is newer than the current
   /// one.
@@ -76,6 +78,7 @@
   prometheus::Family<prometheus::Counter>* target_crashes_;
   prometheus::Family<prometheus::Counter>* lost_exchanges_;
   prometheus::Family<prometheus::Counter>* crash_count_resets_;
+  prometheus::Family<prometheus::Counter>* undelivered_responses_;
   prometheus::Family<prometheus::Counter>* configuration_offers_;
   prometheus::Family<prometheus::Counter>* catch_ups_;
   prometheus::Histogram* configuration_lag_;
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -260,6 +260,9 @@
     return;
   }
   const bool was_established = std::erase(found->second, session) > 0;
+  if (was_established && callbacks_.responses_unsent && session->holds_response()) {
+    callbacks_.responses_unsent(peer, reason);
+  }
   if (was_established && callbacks_.link_lost) {
     callbacks_.link_lost(peer, session->number());
   }
@@ -290,6 +293,16 @@
   return total_of(closed_bytes_received_, &peer_link::bytes_received);
 }
 
+std::size_t peer_mesh::links_with_responses() const {
+  std::size_t count = 0;
+  for (const auto& [peer, sessions] : sessions_) {
+    for (const auto& session : sessions) {
+      count += session->holds_response() ? 1 : 0;
+    }
+  }
+  return count;
+}
+
 std::uint64_t peer_mesh::refused_messages() const {
   return total_of(closed_refused_messages_, &peer_link::refused_messages);
 }
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -58,6 +58,9 @@
     /// A session to a peer has ended, whether or not it was the last one. Called before `peer_lost`
     /// and `session_replaced`.
     std::function<void(const instance_name&, std::uint64_t link)> link_lost = nullptr;
+    /// A session has ended although the peer had not acknowledged all responses sent to it. Called
+    /// before `link_lost`.
+    std::function<void(const instance_name&, const std::string& reason)> responses_unsent = nullptr;
     /// The address at which an instance was dialled now belongs to another instance.
     std::function<void(const instance_name&)> peer_replaced = nullptr;
     /// Load to report in heartbeats.
@@ -99,6 +102,8 @@
   [[nodiscard]] const link_traffic& traffic() const noexcept { return *context_->traffic; }
   [[nodiscard]] std::uint64_t bytes_sent() const;
   [[nodiscard]] std::uint64_t bytes_received() const;
+  /// Number of links whose peer has not acknowledged all responses sent to it.
+  [[nodiscard]] std::size_t links_with_responses() const;
   [[nodiscard]] std::uint64_t refused_messages() const;
 
  private:
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -21,6 +21,12 @@
                    wire::claim_complete, wire::claim_complete_answer>(content);
 }
 
+/// Whether a message tells the peer the outcome of something that it has asked for.
+bool is_response(const wire::message& content) {
+  return is_one_of<wire::call_answer, wire::call_status_answer, wire::claim_answer,
+                   wire::claim_complete_answer>(content);
+}
+
 }  // namespace
 
 std::shared_ptr<peer_session> peer_session::connect(const std::shared_ptr<const context>& shared,
@@ -79,6 +85,9 @@
   const bool accepted = link_->send_encoded(payload);
   if (accepted) {
     shared_->traffic->count(scope_, wire::kind_of(content), payload.size());
+    if (is_response(content)) {
+      responses_end_ = link_->bytes_sent();
+    }
   }
   return accepted;
 }
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -372,6 +372,18 @@
                       items);
 }
 
+/// Logs and counts the response if its connection ends before the caller has acknowledged it.
+void outbound_request::report_if_undelivered() {
+  exchange_->on_undelivered(
+      [&shared = shared_, id = attempt_id_](const undelivered_response& undelivered) {
+        const std::string cause(to_string(undelivered.cause));
+        shared.counters.count_undelivered_response("caller", cause);
+        const bool left = undelivered.cause == delivery_failure::closed_by_client;
+        shared.log.request(left ? log_level::info : log_level::warning, "response_undelivered",
+                           {{"request", id}, {"cause", cause}, {"bytes", undelivered.bytes}});
+      });
+}
+
 void outbound_request::finish(const http_response& response, verdict outcome,
                               const std::string& reason) {
   if (finished_) {
@@ -383,6 +395,7 @@
   shared_.counters.count_caller_request(service_.str(), outcome, response.status);
   shared_.counters.observe_caller_latency(service_.str(), took);
   log_end(response.status, outcome, reason, took);
+  report_if_undelivered();
   exchange_->respond(response);
   exchange_ = nullptr;
   cancel_attempts();
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -49,6 +49,7 @@
   void fail(int status, const std::string& reason);
   void log_attempt(std::size_t index, const call_outcome& outcome) const;
   void log_end(int status, verdict outcome, const std::string& reason, duration took) const;
+  void report_if_undelivered();
   void finish(const http_response& response, verdict outcome, const std::string& reason);
 
   outbound_services& services_;
--- a/Source/sidecar/planned_stop.cpp
+++ b/Source/sidecar/planned_stop.cpp
@@ -52,8 +52,12 @@
 }
 
 void planned_stop::log_state(const char* event) const {
-  shared_.log.info(event,
-                   {{"callers", shared_.callers.active()}, {"running", shared_.work.active()}});
+  const unsent_responses unsent = shared_.callers.unsent();
+  shared_.log.info(event, {{"callers", shared_.callers.active()},
+                           {"running", shared_.work.active()},
+                           {"unsent_responses", unsent.connections},
+                           {"unsent_bytes", unsent.bytes},
+                           {"links_with_responses", shared_.links.links_with_responses()}});
 }
 
 }  // namespace crocusdoor
--- a/Source/sidecar/planned_stop.h
+++ b/Source/sidecar/planned_stop.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "daemon/peer_mesh.h"
 #include "daemon/stop_watch.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/inbound_work.h"
@@ -19,6 +20,7 @@
     decision_log& log;
     http_server& callers;
     inbound_work& work;
+    const peer_mesh& links;
   };
 
   /// `time_limit` is the time from SIGTERM until the process is killed.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -126,7 +126,8 @@
         std::make_shared<outbound_request>(*services_, exchange)->start();
       });
   stop_ = std::make_unique<planned_stop>(
-      planned_stop::context{loop_, log_, *callers_, gateway_->work()}, options_.bounds.stop_s);
+      planned_stop::context{loop_, log_, *callers_, gateway_->work(), *mesh_},
+      options_.bounds.stop_s);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
@@ -215,6 +216,10 @@
   callbacks.link_lost = [this](const instance_name& peer, std::uint64_t link) {
     gateway_->work().link_lost(peer, link);
   };
+  callbacks.responses_unsent = [this](const instance_name& peer, const std::string& reason) {
+    counters_.count_undelivered_response("peer", "link_lost");
+    log_.warning("responses_unsent", {{"peer", peer.str()}, {"reason", reason}});
+  };
   callbacks.dial_failed = [this](const instance_name& peer) { router_->dial_failed(peer); };
   callbacks.session_replaced = [this](const instance_name& peer) {
     router_->session_replaced(peer);
@@ -438,6 +443,9 @@
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
   counters_.set_link_traffic(mesh_->traffic());
+  counters_
+      .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
+      .Set(static_cast<double>(callers_->unsent().bytes));
   exchange.respond(
       {status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, counters_.render()});
 }
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -62,6 +62,8 @@
 /// alive.
 class http_server_connection : public std::enable_shared_from_this<http_server_connection> {
  public:
+  using undelivered_action = std::function<void(const undelivered_response&)>;
+
   http_server_connection(const std::shared_ptr<http_server_state>& server, int descriptor)
       : server_(server),
         reader_(server->limits.size),
@@ -83,10 +85,12 @@
   http_server_connection(const http_server_connection&) = delete;
   http_server_connection& operator=(const http_server_connection&) = delete;
 
-  void send_response(const http_request& request, const http_response& response) {
+  void send_response(const http_request& request, const http_response& response,
+                     undelivered_action on_undelivered) {
     if (stream_ == nullptr || phase_ != phase::answering) {
       return;
     }
+    undelivered_action_ = std::move(on_undelivered);
     const std::shared_ptr<http_server_state> server = server_.lock();
     const bool keep_open = keep_alive_ && server != nullptr && !server->closing &&
                            !has_token(header_value(response.headers, "Connection"), "close");
@@ -100,10 +104,11 @@
     }
   }
 
-  void close() {
+  void close(delivery_failure cause = delivery_failure::closed_by_server) {
     if (stream_ == nullptr) {
       return;
     }
+    report_undelivered(cause);
     phase_ = phase::closed;
     bufferevent_free(stream_);
     stream_ = nullptr;
@@ -154,6 +159,17 @@
            (phase_ == phase::idle && !is_idle());
   }
 
+  /// Bytes of responses that the client has not acknowledged.
+  [[nodiscard]] std::size_t undelivered_bytes() const {
+    if (stream_ == nullptr) {
+      return 0;
+    }
+    const std::size_t written = unacknowledged_bytes(bufferevent_getfd(stream_));
+    // The end of the sending side follows the last byte of the last response.
+    const std::size_t end = sending_ended_ && written > 0 ? 1 : 0;
+    return unsent_output() + written - end;
+  }
+
  private:
   enum class phase { idle, reading, answering, lingering, closed };
 
@@ -201,10 +217,15 @@
     input_ = std::string();
     reader_ = http_request_reader(http_size_limits{});
     if (unsent_output() == 0) {
-      ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+      end_sending();
     }
   }
 
+  void end_sending() {
+    sending_ended_ = true;
+    ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+  }
+
   void refuse(int status) {
     write(write_response({status, {}, ""}, "GET", false));
     finish_writing();
@@ -283,15 +304,26 @@
       return;
     }
     phase_ = phase::answering;
+    undelivered_action_ = nullptr;
     keep_alive_ = reader_.keep_alive();
     const auto exchange = std::make_shared<http_exchange>(shared_from_this(), reader_.take());
     exchange_ = exchange;
     server->on_request(exchange);
   }
 
-  void client_closed() {
+  void report_undelivered(delivery_failure cause) {
+    const undelivered_action action = std::exchange(undelivered_action_, nullptr);
+    if (action) {
+      const std::size_t bytes = undelivered_bytes();
+      if (bytes > 0) {
+        action({cause, bytes});
+      }
+    }
+  }
+
+  void client_closed(delivery_failure cause = delivery_failure::closed_by_client) {
     const std::shared_ptr<http_exchange> exchange = exchange_.lock();
-    close();
+    close(cause);
     if (exchange != nullptr) {
       exchange->client_disconnected();
     }
@@ -302,10 +334,10 @@
     self->read_available();
   }
 
-  static void on_write(bufferevent* stream, void* context) {
+  static void on_write(bufferevent*, void* context) {
     const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
     if (self->phase_ == phase::lingering) {
-      ::shutdown(bufferevent_getfd(stream), SHUT_WR);
+      self->end_sending();
     } else {
       self->post_read();
     }
@@ -313,8 +345,10 @@
 
   static void on_event(bufferevent*, short what, void* context) {
     const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    if ((what & BEV_EVENT_EOF) != 0) {
       self->client_closed();
+    } else if ((what & BEV_EVENT_ERROR) != 0) {
+      self->client_closed(delivery_failure::connection_failed);
     }
   }
 
@@ -326,6 +360,8 @@
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool served_ = false;  ///< Whether a request of this connection has been answered.
+  bool sending_ended_ = false;
+  undelivered_action undelivered_action_;  ///< Of the last response.
   time_point request_started_at_{};
   time_point last_active_at_{};
   bufferevent* stream_;
@@ -356,7 +392,7 @@
   }
   responded_ = true;
   disconnect_action_ = nullptr;
-  connection_->send_response(request_, response);
+  connection_->send_response(request_, response, std::move(undelivered_action_));
 }
 
 void http_exchange::close() {
@@ -440,6 +476,16 @@
   return count;
 }
 
+unsent_responses http_server::unsent() const {
+  unsent_responses result;
+  for (const auto& connection : state_->connections) {
+    const std::size_t bytes = connection->undelivered_bytes();
+    result.connections += bytes > 0 ? 1 : 0;
+    result.bytes += bytes;
+  }
+  return result;
+}
+
 std::uint16_t http_server::port() const noexcept {
   return state_->listener->port();
 }
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 
+#include "core/enum_names.h"
 #include "transport/event_loop.h"
 #include "transport/http_framing.h"
 #include "transport/http_types.h"
@@ -15,6 +16,36 @@
 struct http_server_state;
 }  // namespace detail
 
+/// Why a connection ended before its client had acknowledged the last response.
+enum class delivery_failure {
+  closed_by_client,   ///< The client closed the connection or its sending side.
+  connection_failed,  ///< The connection was reset or timed out.
+  closed_by_server,   ///< This process closed it.
+};
+
+template <>
+struct enum_names<delivery_failure> {
+  static constexpr auto names = make_enum_names<delivery_failure>({
+      {delivery_failure::closed_by_client, "closed_by_client"},
+      {delivery_failure::connection_failed, "connection_failed"},
+      {delivery_failure::closed_by_server, "closed_by_server"},
+  });
+};
+
+/// A response of which the client has not acknowledged all bytes when its connection ended.
+struct undelivered_response {
+  delivery_failure cause = delivery_failure::closed_by_server;
+  std::size_t bytes = 0;  ///< Bytes that the client has not acknowledged.
+  friend bool operator==(const undelivered_response&, const undelivered_response&) = default;
+};
+
+/// Responses that have been passed to a server and that their clients have not acknowledged.
+struct unsent_responses {
+  std::size_t connections = 0;
+  std::size_t bytes = 0;
+  friend bool operator==(const unsent_responses&, const unsent_responses&) = default;
+};
+
 /// One request that a server received and its response, which may be sent in a later iteration of
 /// the loop. An exchange that is destroyed without a response sends status 500.
 class http_exchange {
@@ -40,6 +71,11 @@
   /// Calls `action` if the client closes its connection, or its sending side, before the response
   /// is sent.
   void on_disconnect(std::function<void()> action) { disconnect_action_ = std::move(action); }
+  /// Calls `action` if the connection ends before the client has acknowledged the whole response.
+  /// Must be set before the response is sent.
+  void on_undelivered(std::function<void(const undelivered_response&)> action) {
+    undelivered_action_ = std::move(action);
+  }
 
  private:
   friend class detail::http_server_connection;
@@ -50,6 +86,7 @@
   bool responded_ = false;
   bool disconnected_ = false;
   std::function<void()> disconnect_action_;
+  std::function<void(const undelivered_response&)> undelivered_action_;
 };
 
 /// Limits on the size of a request and on the time that a client may take.
@@ -87,6 +124,8 @@
   /// Number of connections that are new or on which a request is being read or answered or has
   /// unread bytes.
   [[nodiscard]] std::size_t active() const;
+  /// Responses that are not wholly acknowledged by their clients.
+  [[nodiscard]] unsent_responses unsent() const;
   [[nodiscard]] std::uint16_t port() const noexcept;
 
  private:
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -14,6 +14,7 @@
 #include "transport/loop_time.h"
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
+#include "transport/socket_state.h"
 #include "transport/stream_output.h"
 
 namespace crocusdoor {
@@ -115,6 +116,12 @@
   pending_output_.clear();
 }
 
+std::uint64_t peer_link::unacknowledged_bytes() const {
+  return connection_ == nullptr ? unacknowledged_at_end_
+                                : evbuffer_get_length(bufferevent_get_output(connection_)) +
+                                      detail::unacknowledged_bytes(bufferevent_getfd(connection_));
+}
+
 void peer_link::close(std::string reason) {
   if (closing_) {
     return;
@@ -132,6 +139,7 @@
 void peer_link::finish(const std::string& reason) {
   const std::shared_ptr<peer_link> keep_alive = std::move(self_);
   if (connection_ != nullptr) {
+    unacknowledged_at_end_ = unacknowledged_bytes();
     bufferevent_free(connection_);
     connection_ = nullptr;
   }
--- a/Source/transport/peer_link.h
+++ b/Source/transport/peer_link.h
@@ -57,6 +57,9 @@
 
   [[nodiscard]] bool is_open() const noexcept { return open_; }
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
+  /// How many of the bytes sent the peer has not acknowledged; after the end of the link, how many
+  /// it had not acknowledged then.
+  [[nodiscard]] std::uint64_t unacknowledged_bytes() const;
   [[nodiscard]] std::uint64_t bytes_received() const noexcept { return bytes_received_; }
   [[nodiscard]] std::uint64_t refused_messages() const noexcept { return refused_messages_; }
 
@@ -83,6 +86,7 @@
   bool closing_ = false;
   std::string pending_output_;  ///< Bytes that the session has produced since the last write.
   std::uint64_t bytes_sent_ = 0;
+  std::uint64_t unacknowledged_at_end_ = 0;
   std::uint64_t bytes_received_ = 0;
   std::uint64_t refused_messages_ = 0;
 };
--- a/Source/transport/socket_state.cpp
+++ b/Source/transport/socket_state.cpp
@@ -1,6 +1,8 @@
 #include "transport/socket_state.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -20,4 +22,10 @@
   return ::poll(&poll_request, 1, 0) > 0;
 }
 
+std::size_t unacknowledged_bytes(int descriptor) {
+  int bytes = 0;
+  return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes)
+                                                                 : 0;
+}
+
 }  // namespace crocusdoor::detail
