Show how answers are cut before their callers have them

A client of the tests has the window and segments of a weak link (16 KiB, 1,460 bytes), and can drop segments before the kernel acknowledges them.

--- a/Tests/daemon/peer_mesh_test.cpp
+++ b/Tests/daemon/peer_mesh_test.cpp
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "linked_daemon.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -92,66 +94,13 @@
   std::vector<owned_socket> accepted_;
 };
 
-/// A daemon with links and nothing else.
-class linked_daemon {
- public:
-  linked_daemon(event_loop& loop, const std::string& name, std::uint16_t port)
-      : random_(1), mesh_(loop, random_, settings(name, port), handlers(name)) {}
-
-  peer_mesh& mesh() noexcept { return mesh_; }
-  /// Heartbeats sent so far.
-  [[nodiscard]] std::uint64_t heartbeats() const {
-    std::uint64_t count = 0;
-    for (const auto& [scope, kinds] : mesh_.traffic().totals()) {
-      const auto found = kinds.find("heartbeat");
-      count += found == kinds.end() ? 0 : found->second.messages;
-    }
-    return count;
-  }
-
- private:
-  static peer_mesh::configuration settings(const std::string& name, std::uint16_t port) {
-    peer_mesh::configuration result;
-    result.self = instance_name(name);
-    result.listen = {"127.0.0.1", port};
-    result.heartbeat_interval = std::chrono::milliseconds(100);
-    result.idle_interval_per_link = std::chrono::minutes(1);
-    result.heartbeat_timeout = std::chrono::seconds(5);
-    result.respond_to_heartbeats = false;
-    return result;
-  }
-  static peer_mesh::handlers handlers(const std::string& name) {
-    peer_mesh::handlers result;
-    result.make_hello = [name](const instance_name&) {
-      wire::hello greeting;
-      greeting.self.name = instance_name(name);
-      return greeting;
-    };
-    result.configuration_version = [] { return version_number(1); };
-    result.configuration_digest = [] { return digest(); };
-    result.peer_established = [](const instance_name&, const wire::hello&) {};
-    result.peer_lost = [](const instance_name&, const std::string&) {};
-    result.dial_failed = [](const instance_name&) {};
-    result.version_reported = [](const instance_name&, version_number) {};
-    return result;
-  }
-
-  random_source random_;
-  peer_mesh mesh_;
-};
-
-void run_for(event_loop& loop, duration time) {
-  const timer_handle end = loop.after(time, [&] { loop.stop(); });
-  loop.run();
-}
-
 }  // namespace
 
 TEST_CASE("only requests make heartbeats on a link frequent", "[F7][M2]") {
   // Failure guarded against: each change of an instance in a fleet of hundreds made all links busy
   // for a second, and the heartbeats were most of the traffic between failure domains.
   event_loop loop;
-  const std::uint16_t port = [&] { return tcp_listener(loop, {"127.0.0.1", 0}, {}).port(); }();
+  const std::uint16_t port = unused_port(loop);
   linked_daemon left(loop, "left", 0);
   linked_daemon right(loop, "right", port);
   left.mesh().dial({"127.0.0.1", port});
@@ -218,4 +167,27 @@
   CHECK(next != repeated_by_kernel);
 }
 
+TEST_CASE("a response to a peer counts as sent once the peer has acknowledged it", "[P8]") {
+  // Failure guarded against: a daemon ended while responses were unsent in its links, and its peers
+  // could not learn the outcome of requests that may run only once.
+  linked_pair pair;
+  peer_mesh& links = pair.daemon.mesh();
+  REQUIRE(links.linked(pair.peer_name));
+  CHECK(links.links_with_responses() == 0);
+
+  SECTION("a response of which the peer reads nothing") {
+    CHECK(pair.hold_response());
+    CHECK(pair.run_until([&] { return links.links_with_responses() == 0; }));
+  }
+  SECTION("other messages are not waited for") {
+    constexpr int message_limit = 12;
+    wire::call call;
+    call.body.bytes = std::string(1'500'000, 'x');
+    for (int i = 0; i < message_limit && links.send(pair.peer_name, call); ++i) {
+      run_for(pair.loop, std::chrono::milliseconds(20));
+    }
+    CHECK(links.links_with_responses() == 0);
+  }
+}
+
 }  // namespace crocusdoor
--- a/Tests/raw_connection.h
+++ b/Tests/raw_connection.h
@@ -1,20 +1,36 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <string>
 
 namespace crocusdoor {
 
+/// Properties of a connection; 0 stands for the default of the system.
+struct raw_connection_options {
+  int receive_buffer_bytes = 0;
+  int segment_bytes = 0;
+};
+
+/// A window and segments as on a weak link: most of a long response stays with the server until the
+/// test reads.
+inline constexpr raw_connection_options weak_link{16'384, 1'460};
+
 /// Connection to a port on loopback on which a test writes the bytes itself. It does not use the
 /// event loop, so the server under test reads them only when the loop runs.
 class raw_connection {
  public:
-  explicit raw_connection(std::uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit raw_connection(std::uint16_t port, const raw_connection_options& options = {})
+      : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    set_option(SOL_SOCKET, SO_RCVBUF, options.receive_buffer_bytes);
+    set_option(IPPROTO_TCP, TCP_MAXSEG, options.segment_bytes);
     sockaddr_in remote{};
     remote.sin_family = AF_INET;
     remote.sin_port = htons(port);
@@ -36,6 +52,17 @@
     return sent > 0 ? static_cast<std::size_t>(sent) : 0;
   }
 
+  /// Drops all further segments of the server before the kernel acknowledges them, as if the
+  /// machine of the client had lost its power.
+  void stop_acknowledging() const {
+    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    const sock_fprog program{1, &drop_all};
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+  }
+
+  /// Ends the sending side.
+  void shut_down() const { ::shutdown(descriptor_, SHUT_WR); }
+
   void close() {
     if (descriptor_ >= 0) {
       ::close(descriptor_);
@@ -49,6 +76,15 @@
     return received_;
   }
 
+  /// Reads at most this many bytes that have arrived. Returns all bytes received so far.
+  const std::string& receive_some(std::size_t limit) {
+    std::string bytes(limit, '\0');
+    const ssize_t count = recv(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    at_end_ = at_end_ || count == 0;
+    received_.append(bytes, 0, count > 0 ? static_cast<std::size_t>(count) : 0);
+    return received_;
+  }
+
   /// Whether the connection could not be made or the server has closed it.
   bool at_end() {
     read_available();
@@ -56,6 +92,12 @@
   }
 
  private:
+  void set_option(int level, int name, int value) const {
+    if (value > 0) {
+      ::setsockopt(descriptor_, level, name, &value, sizeof(value));
+    }
+  }
+
   void read_available() {
     std::array<char, 4'096> buffer{};
     ssize_t count = 0;
@@ -64,6 +106,7 @@
       at_end_ = count == 0;
       received_.append(buffer.data(), static_cast<std::size_t>(count));
     }
+    at_end_ = at_end_ || (count < 0 && errno == ECONNRESET);
   }
 
   int descriptor_;
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -351,4 +351,23 @@
   CHECK(server.written() < flood_limit);
 }
 
+TEST_CASE("a response is read although the rest of the request cannot be written", "[P4]") {
+  // Failure guarded against: a server that responded to a long request before it had read the whole
+  // of it, and closed, had run it; the client noticed the failed write first and lost the response.
+  event_loop loop;
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\ndone";
+  const bool whole = GENERATE(true, false);
+  INFO((whole ? "a whole response" : "a part of a response"));
+  scripted_server server(loop, 0, [&](scripted_server::connection& connection, const std::string&) {
+    connection.write(whole ? response : response.substr(0, 70));
+    connection.close();
+  });
+  loop_client client(loop, server.port());
+  const std::string body(8'000'000, 'x');
+  const http_result result = client.send("POST", "/", {}, body);
+  CHECK(result.outcome == (whole ? http_outcome::answered : http_outcome::interrupted));
+  CHECK(result.response.body == (whole ? "done" : ""));
+}
+
 }  // namespace crocusdoor
--- a/Tests/transport/peer_link_test.cpp
+++ b/Tests/transport/peer_link_test.cpp
@@ -71,4 +71,48 @@
   run_until([&] { return closed; });
 }
 
+TEST_CASE("messages that a peer has sent are delivered although writing to it fails", "[P4][P8]") {
+  // Failure guarded against: a write to a process that had ended closed the link before its last
+  // response, which was already in the socket, was read.
+  event_loop receiver_loop;
+  event_loop sender_loop;
+  // Wakes the loops, so that neither waits for the other without end.
+  const timer_handle receiver_tick = receiver_loop.every(std::chrono::milliseconds(1), [] {});
+  const timer_handle sender_tick = sender_loop.every(std::chrono::milliseconds(1), [] {});
+  std::shared_ptr<peer_link> receiver;
+  std::size_t received = 0;
+  bool receiver_closed = false;
+  bool sender_closed = false;
+  tcp_listener listener(receiver_loop, {"127.0.0.1", 0}, [&](std::intptr_t descriptor) {
+    receiver = peer_link::accept(
+        receiver_loop, descriptor,
+        {[](peer_link&) {}, [&](peer_link&, const wire::envelope&) { ++received; },
+         [&](peer_link&, const std::string&) { receiver_closed = true; }});
+  });
+  const std::shared_ptr<peer_link> sender =
+      peer_link::connect(sender_loop, {"127.0.0.1", listener.port()}, std::chrono::seconds(3),
+                         {[](peer_link&) {}, [](peer_link&, const wire::envelope&) {},
+                          [&](peer_link&, const auto&) { sender_closed = true; }});
+  const auto run_until = [](const auto& condition, const std::vector<event_loop*>& loops) {
+    for (int iteration = 0; iteration < 1'000 && !condition(); ++iteration) {
+      for (event_loop* loop : loops) {
+        loop->run_once();
+      }
+    }
+    return condition();
+  };
+  REQUIRE(run_until([&] { return sender->is_open() && receiver != nullptr && receiver->is_open(); },
+                    {&sender_loop, &receiver_loop}));
+
+  // The sender ends with unread input, so its kernel resets the connection.
+  REQUIRE(receiver->send(large_call(1)));
+  REQUIRE(sender->send(large_call(2)));
+  sender->close("end of the process");
+  REQUIRE(run_until([&] { return sender_closed; }, {&sender_loop}));
+  static_cast<void>(receiver->send(large_call(3)));
+  static_cast<void>(receiver->send(large_call(4)));
+  CHECK(run_until([&] { return receiver_closed; }, {&receiver_loop}));
+  CHECK(received == 1);
+}
+
 }  // namespace crocusdoor
