Count a response as delivered only once its client has acknowledged it

Cause: send_response set the connection idle or lingering once the response was queued, whatever of it was unsent. close_idle, the second of lingering, the idle limit and the end of the process counted from there, and active() did not count the connection.

Change: a connection counts as idle, or may end, once the client's kernel has acknowledged the whole response (SIOCOUTQ). The idle limit counts from the last byte that the client has taken; a client that takes nothing for the idle limit is disconnected. A client that ends only its sending side gets the rest. What all clients leave unread is bounded at 16 MB, and by the limit of connections; those that have read nothing for longest are closed.

--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -22,16 +23,24 @@
 
 /// How often the timeouts of connections are checked.
 constexpr duration timeout_check_interval = std::chrono::milliseconds(200);
-/// How long a connection that the server ends stays open so that the client can read the last
+/// How long a connection that the server ends stays open after the client has acknowledged the last
 /// response. Closing a socket with unread input resets the connection, and the client could lose a
-/// response in transit.
+/// response that it has not read.
 constexpr duration linger_time = std::chrono::seconds(1);
 /// Maximum input of one connection that waits to be handled; it holds pipelined requests.
 constexpr std::size_t input_limit_bytes = 65'536;
 /// No further request of a connection is read while more output than this is unsent.
 constexpr std::size_t unsent_limit_bytes = 65'536;
-/// Above this number of connections idle ones are closed, so that file descriptors do not run out.
+/// Above this many unsent bytes of all connections, those whose clients have read nothing for
+/// longest are closed, so that the memory of the process is bounded.
+constexpr std::size_t total_unsent_limit_bytes = 16'000'000;
+/// A response that is not acknowledged this long after it was sent is checked for progress.
+constexpr duration delivery_check_delay = std::chrono::seconds(1);
+/// Above this number of connections idle ones, and those whose clients do not read, are closed, so
+/// that file descriptors do not run out.
 constexpr std::size_t connection_limit = 2'000;
+/// A client that has read nothing for this long counts as not reading above the limit.
+constexpr duration stalled_time = std::chrono::seconds(5);
 
 /// A new connection counts as active for this long while its first request has not arrived.
 constexpr duration first_request_time = std::chrono::milliseconds(300);
@@ -56,6 +65,9 @@
   http_server_state(event_loop& owner, http_server::handler handler,
                     http_server_limits server_limits)
       : loop(owner), on_request(std::move(handler)), limits(server_limits) {}
+
+  void check_connections();
+  void limit_unsent_output();
 };
 
 /// One connection of a client. The server's set of connections and the exchange in progress keep it
@@ -102,6 +114,9 @@
     } else {
       finish_writing();
     }
+    if (server != nullptr && unsent_output() > 0) {
+      server->limit_unsent_output();
+    }
   }
 
   void close(delivery_failure cause = delivery_failure::closed_by_server) {
@@ -125,25 +140,20 @@
 
   /// Closes or refuses the connection if a timeout has passed.
   void check_timeouts(const http_server_limits& limits, time_point now) {
-    const duration inactive_time = now - last_active_at_;
     switch (phase_) {
       case phase::idle:
-        if (inactive_time >= limits.idle_timeout) {
-          close();
-        }
+        check_unused(limits.idle_timeout, limits, now);
         break;
       case phase::reading:
         check_reading(limits, now);
         break;
       case phase::lingering:
-        if (inactive_time >= linger_time) {
-          close();
-        }
+        check_unused(linger_time, limits, now);
         break;
       case phase::answering:
         if (pending_input() >= input_limit_bytes && client_has_closed()) {
           // Reading has stopped at the limit, so the loop would not report that the client closed.
-          client_closed();
+          client_closed(delivery_failure::closed_by_client);
         }
         break;
       case phase::closed:
@@ -151,12 +161,21 @@
     }
   }
 
-  [[nodiscard]] bool is_idle() const {
-    return phase_ == phase::idle && !is_new() && !has_unread_bytes();
+  [[nodiscard]] bool is_idle() {
+    return phase_ == phase::idle && !is_new() && !has_unread_bytes() && is_delivered();
   }
-  [[nodiscard]] bool is_active() const {
+  [[nodiscard]] bool is_active() {
     return phase_ == phase::reading || phase_ == phase::answering ||
-           (phase_ == phase::idle && !is_idle());
+           (phase_ == phase::idle && !is_idle()) || (phase_ == phase::lingering && !is_delivered());
+  }
+  /// Whether the client has not read the last response and has taken nothing of it for a while.
+  [[nodiscard]] bool is_stalled(time_point now) {
+    const bool unused = phase_ == phase::idle || phase_ == phase::lingering;
+    return unused && !is_delivered() && now - last_active_at_ >= stalled_time;
+  }
+  [[nodiscard]] time_point last_active_at() const noexcept { return last_active_at_; }
+  [[nodiscard]] std::size_t unsent_output() const {
+    return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
   }
 
   /// Bytes of responses that the client has not acknowledged.
@@ -199,6 +218,35 @@
     return server == nullptr ? last_active_at_ : server->loop.now();
   }
 
+  /// Whether the client has acknowledged all responses. Notes when it has taken a part of them.
+  bool is_delivered() {
+    if (!delivering_ || stream_ == nullptr) {
+      return true;
+    }
+    const std::size_t remaining = undelivered_bytes();
+    const bool first_check = remaining_bytes_ == 0;
+    if (remaining < remaining_bytes_ || (first_check && remaining > 0)) {
+      last_active_at_ = now();
+    }
+    remaining_bytes_ = remaining;
+    delivering_ = remaining > 0;
+    return !delivering_;
+  }
+
+  /// Closes a connection without a request `unused_limit` after its last response was delivered, or
+  /// earlier if the client takes nothing of that response.
+  void check_unused(duration unused_limit, const http_server_limits& limits, time_point now) {
+    if (now - last_active_at_ < std::min(unused_limit, delivery_check_delay)) {
+      return;
+    }
+    const bool delivered = is_delivered();
+    if (!delivered && now - last_active_at_ >= limits.idle_timeout) {
+      close(delivery_failure::client_stalled);
+    } else if (delivered && now - last_active_at_ >= unused_limit) {
+      close();
+    }
+  }
+
   void check_reading(const http_server_limits& limits, time_point now) {
     const bool headers_timed_out =
         !reader_.in_body() && now - request_started_at_ >= limits.header_timeout;
@@ -208,7 +256,11 @@
     }
   }
 
-  void write(const std::string& bytes) { write_output(stream_, bytes); }
+  void write(const std::string& bytes) {
+    write_output(stream_, bytes);
+    delivering_ = true;
+    remaining_bytes_ = 0;
+  }
 
   /// Shuts down the sending side once the output is written; the connection then lingers.
   void finish_writing() {
@@ -244,10 +296,6 @@
     return evbuffer_get_length(bufferevent_get_input(stream_));
   }
 
-  [[nodiscard]] std::size_t unsent_output() const {
-    return evbuffer_get_length(bufferevent_get_output(stream_));
-  }
-
   void read_available() {
     if (stream_ == nullptr) {
       return;
@@ -321,7 +369,18 @@
     }
   }
 
-  void client_closed(delivery_failure cause = delivery_failure::closed_by_client) {
+  /// Handles the end of the client's sending side. A client that has only ended that side still
+  /// gets the rest of its response; writing to one that has closed the connection fails.
+  void client_ended() {
+    const bool waiting = phase_ == phase::idle || phase_ == phase::lingering;
+    if (!waiting || is_delivered()) {
+      client_closed(delivery_failure::closed_by_client);
+    } else if (phase_ == phase::idle) {
+      finish_writing();
+    }
+  }
+
+  void client_closed(delivery_failure cause) {
     const std::shared_ptr<http_exchange> exchange = exchange_.lock();
     close(cause);
     if (exchange != nullptr) {
@@ -346,7 +405,7 @@
   static void on_event(bufferevent*, short what, void* context) {
     const auto self = static_cast<http_server_connection*>(context)->shared_from_this();
     if ((what & BEV_EVENT_EOF) != 0) {
-      self->client_closed();
+      self->client_ended();
     } else if ((what & BEV_EVENT_ERROR) != 0) {
       self->client_closed(delivery_failure::connection_failed);
     }
@@ -361,12 +420,47 @@
   bool continue_sent_ = false;
   bool served_ = false;  ///< Whether a request of this connection has been answered.
   bool sending_ended_ = false;
+  bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
+  std::size_t remaining_bytes_ = 0;  ///< Unacknowledged at the last check; 0 before the first one.
   undelivered_action undelivered_action_;  ///< Of the last response.
   time_point request_started_at_{};
   time_point last_active_at_{};
   bufferevent* stream_;
 };
 
+void http_server_state::check_connections() {
+  const time_point now = loop.now();
+  for (const auto& connection : connections) {
+    connection->check_timeouts(limits, now);
+    if (connections.size() > connection_limit) {
+      if (connection->is_idle()) {
+        connection->close();
+      } else if (connection->is_stalled(now)) {
+        connection->close(delivery_failure::output_limit);
+      }
+    }
+  }
+}
+
+void http_server_state::limit_unsent_output() {
+  const auto longest_first = [](const auto& left, const auto& right) {
+    return left->last_active_at() < right->last_active_at();
+  };
+  std::vector<connection_pointer> unsent;
+  std::size_t bytes = 0;
+  for (const connection_pointer& connection : connections) {
+    if (connection->unsent_output() > 0) {
+      unsent.push_back(connection);
+      bytes += connection->unsent_output();
+    }
+  }
+  std::sort(unsent.begin(), unsent.end(), longest_first);
+  for (std::size_t i = 0; i < unsent.size() && bytes > total_unsent_limit_bytes; ++i) {
+    bytes -= unsent[i]->unsent_output();
+    unsent[i]->close(delivery_failure::output_limit);
+  }
+}
+
 }  // namespace detail
 
 http_exchange::http_exchange(std::shared_ptr<detail::http_server_connection> connection,
@@ -423,15 +517,8 @@
         state->connections.insert(std::make_shared<detail::http_server_connection>(
             state->weak_from_this().lock(), static_cast<int>(accepted)));
       });
-  state_->timeout_check_timer = loop.every(timeout_check_interval, [state = state_.get()] {
-    const time_point now = state->loop.now();
-    for (const auto& connection : state->connections) {
-      connection->check_timeouts(state->limits, now);
-      if (state->connections.size() > connection_limit && connection->is_idle()) {
-        connection->close();
-      }
-    }
-  });
+  state_->timeout_check_timer =
+      loop.every(timeout_check_interval, [state = state_.get()] { state->check_connections(); });
 }
 
 http_server::~http_server() {
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -21,6 +21,8 @@
   closed_by_client,   ///< The client closed the connection or its sending side.
   connection_failed,  ///< The connection was reset or timed out.
   closed_by_server,   ///< This process closed it.
+  client_stalled,     ///< The client read nothing for the idle limit.
+  output_limit,       ///< The clients together left too much unread.
 };
 
 template <>
@@ -29,6 +31,8 @@
       {delivery_failure::closed_by_client, "closed_by_client"},
       {delivery_failure::connection_failed, "connection_failed"},
       {delivery_failure::closed_by_server, "closed_by_server"},
+      {delivery_failure::client_stalled, "client_stalled"},
+      {delivery_failure::output_limit, "output_limit"},
   });
 };
 
@@ -93,7 +97,9 @@
 struct http_server_limits {
   http_size_limits size;
   duration header_timeout = std::chrono::seconds(30);  ///< From the first byte of a request.
-  duration idle_timeout = std::chrono::seconds(120);   ///< Between requests, and within a body.
+  /// Between requests, within a body, and while the client reads nothing of a response. The time
+  /// between requests counts from the client's acknowledgement of the last response.
+  duration idle_timeout = std::chrono::seconds(120);
   friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
 
@@ -118,11 +124,11 @@
   /// Accepts the connections that are established now and stops listening.
   void stop_accepting();
   /// Closes the connections without a request, except new ones that may still send their first. A
-  /// connection has a request while one is being read or answered or has unread bytes.
+  /// connection has a request while one is being read or answered or has unread bytes, and until
+  /// the client has acknowledged the whole response.
   void close_idle();
 
-  /// Number of connections that are new or on which a request is being read or answered or has
-  /// unread bytes.
+  /// Number of connections that are new or have a request.
   [[nodiscard]] std::size_t active() const;
   /// Responses that are not wholly acknowledged by their clients.
   [[nodiscard]] unsent_responses unsent() const;
