Tell a peer that acknowledges nothing from one that does not read

Cause: TCP_USER_TIMEOUT of 5 s on every connection. The kernel also ends connections by it whose peer acknowledges each probe of its full window. It stood on connections to callers, targets, peers and the store alike.

Other calls end by their timeout, links by their heartbeats.

--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "transport/acknowledgement_watch.h"
 #include "transport/loop_time.h"
 #include "transport/socket_address.h"
 #include "transport/socket_options.h"
@@ -26,6 +27,9 @@
 /// is sent while the server closes the connection.
 constexpr duration idle_margin = std::chrono::milliseconds(500);
 
+/// How often a connection is checked for a server that acknowledges nothing.
+constexpr duration silence_check_interval = std::chrono::seconds(1);
+
 /// Maximum number of responses to other requests that a connection skips before it is closed.
 constexpr int skipped_responses_limit = 16;
 
@@ -67,6 +71,7 @@
   http_client::callback done;
   response_filter filter;
   timer_handle timeout;
+  timer_handle silence_check;  ///< Only of a call with a long timeout.
   std::weak_ptr<class http_client_connection> connection;
   bool finished = false;
 };
@@ -89,6 +94,7 @@
   connection_pointer acquire_connection();
   void finish(const call_pointer& call, const http_result& result);
   bool abandon(const call_pointer& call);
+  void check_silence(const call_pointer& call);
   void time_out(const call_pointer& call);
   void drop(const connection_pointer& connection);
 };
@@ -141,6 +147,13 @@
     stop();
   }
 
+  /// Ends the request if the server has acknowledged nothing for a while.
+  void check_silence(time_point now) {
+    if (request_written_ && acknowledgements_.is_silent(bufferevent_getfd(stream_), now)) {
+      end(http_outcome::interrupted);
+    }
+  }
+
   [[nodiscard]] bool busy() const noexcept { return call_ != nullptr; }
   [[nodiscard]] bool written() const noexcept { return request_written_; }
   [[nodiscard]] const call_pointer& call() const noexcept { return call_; }
@@ -337,6 +350,7 @@
   std::string input_;
   time_point idle_since_{};
   std::optional<time_point> established_at_;
+  acknowledgement_watch acknowledgements_;
   bool request_written_ = false;
   bool reused_ = false;
   bool unusable_ = false;
@@ -395,6 +409,7 @@
   }
   call->finished = true;
   call->timeout = nullptr;
+  call->silence_check = nullptr;
   loop.post([call, result] {
     const http_client::callback done = std::move(call->done);
     done(result);
@@ -414,6 +429,13 @@
   return written;
 }
 
+void http_client_state::check_silence(const call_pointer& call) {
+  const connection_pointer connection = call->connection.lock();
+  if (connection != nullptr && connection->call() == call) {
+    connection->check_silence(loop.now());
+  }
+}
+
 void http_client_state::time_out(const call_pointer& call) {
   const bool written = abandon(call);
   finish(call, {written ? http_outcome::timed_out : http_outcome::not_sent, {}, false, false});
@@ -434,15 +456,21 @@
   call->request = std::move(request);
   call->done = std::move(done);
   call->filter = std::move(filter);
-  std::weak_ptr<detail::http_client_state> state = state_;
-  std::weak_ptr<detail::http_client_call> weak_call = call;
-  call->timeout = state_->loop.after(timeout, [state, weak_call] {
-    const auto live_state = state.lock();
-    const auto live_call = weak_call.lock();
-    if (live_state != nullptr && live_call != nullptr) {
-      live_state->time_out(live_call);
-    }
-  });
+  const auto on_call = [state = std::weak_ptr(state_), weak_call = std::weak_ptr(call)](
+                           void (detail::http_client_state::*action)(const detail::call_pointer&)) {
+    return [state, weak_call, action] {
+      const auto live_state = state.lock();
+      const auto live_call = weak_call.lock();
+      if (live_state != nullptr && live_call != nullptr) {
+        (*live_state.*action)(live_call);
+      }
+    };
+  };
+  call->timeout = state_->loop.after(timeout, on_call(&detail::http_client_state::time_out));
+  if (timeout > detail::acknowledgement_timeout) {
+    call->silence_check = state_->loop.every(silence_check_interval,
+                                             on_call(&detail::http_client_state::check_silence));
+  }
   state_->queued_calls.push_back(call);
   state_->start_queued_calls();
   return call;
@@ -453,6 +481,7 @@
   if (live != nullptr && !live->finished) {
     live->finished = true;
     live->timeout = nullptr;
+    live->silence_check = nullptr;
     state_->abandon(live);
   }
 }
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "transport/acknowledgement_watch.h"
 #include "transport/socket_options.h"
 #include "transport/socket_state.h"
 #include "transport/stream_input.h"
@@ -240,7 +241,9 @@
       return;
     }
     const bool delivered = is_delivered();
-    if (!delivered && now - last_active_at_ >= limits.idle_timeout) {
+    if (!delivered && acknowledgements_.is_silent(bufferevent_getfd(stream_), now)) {
+      close(delivery_failure::client_silent);
+    } else if (!delivered && now - last_active_at_ >= limits.idle_timeout) {
       close(delivery_failure::client_stalled);
     } else if (delivered && now - last_active_at_ >= unused_limit) {
       close();
@@ -422,6 +425,7 @@
   bool sending_ended_ = false;
   bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
   std::size_t remaining_bytes_ = 0;  ///< Unacknowledged at the last check; 0 before the first one.
+  acknowledgement_watch acknowledgements_;
   undelivered_action undelivered_action_;  ///< Of the last response.
   time_point request_started_at_{};
   time_point last_active_at_{};
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -21,6 +21,7 @@
   closed_by_client,   ///< The client closed the connection or its sending side.
   connection_failed,  ///< The connection was reset or timed out.
   closed_by_server,   ///< This process closed it.
+  client_silent,      ///< The client acknowledged nothing any more.
   client_stalled,     ///< The client read nothing for the idle limit.
   output_limit,       ///< The clients together left too much unread.
 };
@@ -31,6 +32,7 @@
       {delivery_failure::closed_by_client, "closed_by_client"},
       {delivery_failure::connection_failed, "connection_failed"},
       {delivery_failure::closed_by_server, "closed_by_server"},
+      {delivery_failure::client_silent, "client_silent"},
       {delivery_failure::client_stalled, "client_stalled"},
       {delivery_failure::output_limit, "output_limit"},
   });
--- a/Tests/raw_connection.h
+++ b/Tests/raw_connection.h
@@ -23,6 +23,14 @@
 /// test reads.
 inline constexpr raw_connection_options weak_link{16'384, 1'460};
 
+/// Drops all further segments to a socket before the kernel acknowledges them, as if its machine
+/// had lost its power.
+inline void stop_acknowledging(int descriptor) {
+  sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &drop_all};
+  ::setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+}
+
 /// Connection to a port on loopback on which a test writes the bytes itself. It does not use the
 /// event loop, so the server under test reads them only when the loop runs.
 class raw_connection {
@@ -52,13 +60,8 @@
     return sent > 0 ? static_cast<std::size_t>(sent) : 0;
   }
 
-  /// Drops all further segments of the server before the kernel acknowledges them, as if the
-  /// machine of the client had lost its power.
-  void stop_acknowledging() const {
-    sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
-    const sock_fprog program{1, &drop_all};
-    ::setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
-  }
+  /// Drops all further segments of the server before the kernel acknowledges them.
+  void stop_acknowledging() const { crocusdoor::stop_acknowledging(descriptor_); }
 
   /// Ends the sending side.
   void shut_down() const { ::shutdown(descriptor_, SHUT_WR); }
--- a/Tests/transport/http_client_test.cpp
+++ b/Tests/transport/http_client_test.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "loop_client.h"
+#include "raw_connection.h"
 #include "scripted_server.h"
 #include "transport/tcp_listener.h"
 
@@ -351,6 +352,24 @@
   CHECK(server.written() < flood_limit);
 }
 
+TEST_CASE("a server that acknowledges nothing ends a long call before its timeout", "[F7]") {
+  // Failure guarded against: a call with a long timeout, such as a watch, waited for a server whose
+  // machine had gone.
+  event_loop loop;
+  std::vector<int> accepted;
+  tcp_listener listener(loop, {"127.0.0.1", 0}, [&](std::intptr_t descriptor) {
+    accepted.push_back(static_cast<int>(descriptor));
+    stop_acknowledging(accepted.back());
+  });
+  loop_client client(loop, listener.port());
+  const time_point sent_at = loop.now();
+  CHECK(client.send("GET", "/").outcome == http_outcome::interrupted);
+  CHECK(loop.now() - sent_at < std::chrono::seconds(9));
+  for (const int descriptor : accepted) {
+    ::close(descriptor);
+  }
+}
+
 TEST_CASE("a response is read although the rest of the request cannot be written", "[P4]") {
   // Failure guarded against: a server that responded to a long request before it had read the whole
   // of it, and closed, had run it; the client noticed the failed write first and lost the response.
@@ -360,7 +379,7 @@
   const bool whole = GENERATE(true, false);
   INFO((whole ? "a whole response" : "a part of a response"));
   scripted_server server(loop, 0, [&](scripted_server::connection& connection, const std::string&) {
-    connection.write(whole ? response : response.substr(0, 70));
+    connection.write(whole ? response : response.substr(0, 59));
     connection.close();
   });
   loop_client client(loop, server.port());
