Read the response that is in the socket before a request counts as interrupted

Callers would see: 502 for a request that the target had run and answered, when the target closes its connection before it has read the whole request.

Change: after a failure the client reads what is in the socket. Only a response with a stated length, or the last chunk, counts as whole then.

--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <deque>
 #include <string>
@@ -27,6 +28,8 @@
 /// is sent while the server closes the connection.
 constexpr duration idle_margin = std::chrono::milliseconds(500);
 
+constexpr std::size_t read_size_bytes = 16'384;
+
 /// How often a connection is checked for a server that acknowledges nothing.
 constexpr duration silence_check_interval = std::chrono::seconds(1);
 
@@ -215,6 +218,11 @@
       end(http_outcome::garbled);
       return;
     }
+    read_responses();
+  }
+
+  /// Handles the responses in `input_`.
+  void read_responses() {
     while (!input_.empty()) {
       const read_progress progress = reader_->read(input_);
       if (progress == read_progress::refused) {
@@ -255,8 +263,8 @@
       idle_limit_ = *stated;
     }
     const bool request_unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
-    unusable_ = !keep_alive || !input_.empty() || skipped_responses_ > 0 || request_unsent ||
-                match == response_match::matched_close;
+    unusable_ = unusable_ || !keep_alive || !input_.empty() || skipped_responses_ > 0 ||
+                request_unsent || match == response_match::matched_close;
     complete({http_outcome::answered, std::move(response), !reused_, false});
     return true;
   }
@@ -312,6 +320,30 @@
     }
   }
 
+  /// Handles a failed connection. A server that has responded without reading the whole request may
+  /// have closed it; its response is then still in the socket.
+  void connection_failed() {
+    unusable_ = true;
+    const bool may_have_response = call_ != nullptr && request_written_;
+    if (may_have_response) {
+      read_socket();
+    }
+    if (!may_have_response || call_ != nullptr) {
+      end(http_outcome::interrupted);
+    }
+  }
+
+  /// Reads and handles what is in the socket, until the call has ended.
+  void read_socket() {
+    std::array<char, read_size_bytes> bytes{};
+    ssize_t size = 0;
+    while (call_ != nullptr && (size = ::recv(bufferevent_getfd(stream_), bytes.data(),
+                                              bytes.size(), MSG_DONTWAIT)) > 0) {
+      input_.append(bytes.data(), static_cast<std::size_t>(size));
+      read_responses();
+    }
+  }
+
   /// Handles an orderly close by the server, which also ends a response without a length.
   void closed_by_server() {
     if (call_ != nullptr && reader_->begun() && reader_->read_end() == read_progress::complete) {
@@ -338,7 +370,7 @@
     } else if ((what & BEV_EVENT_EOF) != 0) {
       self->closed_by_server();
     } else if ((what & (BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
-      self->end(http_outcome::interrupted);
+      self->connection_failed();
     }
   }
 
