Deliver what a peer has sent before a link that fails is closed

Cause: a daemon that ends leaves its last response in the socket of its peer. If the peer writes to the link before it reads, the write fails, and the link was closed with the response unread. The daemon that could have told the outcome has ended, so the caller got 502.

Change: a link that fails is read to its end before it is closed.

Evidence: "messages that a peer has sent are delivered although writing to it fails" received 0 of 1 messages before.

--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -215,7 +215,10 @@
   } else if ((what & BEV_EVENT_EOF) != 0) {
     link->close("peer closed the connection");
   } else if ((what & BEV_EVENT_ERROR) != 0) {
-    link->close(evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+    const std::string reason = evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR());
+    // A write to a peer that has ended fails while its last messages are still in the socket.
+    link->read_pending();
+    link->close(reason);
   }
 }
 
