End a process only when its peers have acknowledged the responses

Cause: the end of a stop looked at requests in progress and at callers, but not at links. A response that waits for the window of a peer, or of a busy peer, was lost with the process.

Change: a sidecar that stops, and crocusdoord at the end of its drain, wait until peers have acknowledged all responses, within their time to stop. crocusdoord's limit after a drain is that of the drain, and 2 s at least.

Evidence: "a sidecar that stops waits until its peers have the responses of its target" ended after 3.1 s before, with a response held by a peer that does not read.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/mesh_daemon.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "daemon/caller_request.h"
@@ -15,7 +16,8 @@
 constexpr duration stop_check_interval = std::chrono::milliseconds(20);
 /// When no request has been in progress for this long, the last responses have been sent.
 constexpr duration flush_time = std::chrono::milliseconds(200);
-/// The process ends this long after its drain even if requests are in progress.
+/// The process ends this long after its drain, but not before the limit of the drain, even if
+/// requests are in progress or responses are unsent.
 constexpr duration stop_limit = std::chrono::seconds(2);
 
 std::uint64_t start_incarnation() {
@@ -316,10 +318,11 @@
 /// over the accepted ones have their responses.
 void mesh_daemon::stop() {
   caller_server_->stop_accepting();
-  stop_watch_.emplace(loop_.now(), flush_time, loop_.now() + stop_limit);
+  stop_watch_.emplace(loop_.now(), flush_time, std::max(loop_.now() + stop_limit, drain_deadline_));
   review_timer_ = loop_.every(stop_check_interval, [this] {
     caller_server_->close_idle();
-    if (stop_watch_->may_end(caller_server_->active() > 0, loop_.now())) {
+    const bool busy = caller_server_->active() > 0 || mesh_->links_with_responses() > 0;
+    if (stop_watch_->may_end(busy, loop_.now())) {
       loop_.stop();
     }
   });
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -92,6 +92,15 @@
   return accepted;
 }
 
+bool peer_session::holds_response() {
+  const bool acknowledged =
+      responses_end_ == 0 || link_->bytes_sent() - link_->unacknowledged_bytes() >= responses_end_;
+  if (acknowledged) {
+    responses_end_ = 0;  // Saves asking the kernel again.
+  }
+  return !acknowledged;
+}
+
 void peer_session::close(const std::string& reason) {
   link_->close(reason);
 }
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -59,9 +59,7 @@
   [[nodiscard]] const std::shared_ptr<peer_link>& link() const noexcept { return link_; }
   [[nodiscard]] std::uint64_t number() const noexcept { return number_; }
   /// Whether the other end has not acknowledged all of the last response sent to it.
-  [[nodiscard]] bool holds_response() const {
-    return link_->bytes_sent() - link_->unacknowledged_bytes() < responses_end_;
-  }
+  [[nodiscard]] bool holds_response();
   /// Time since the last message from the other end.
   [[nodiscard]] duration silence() const { return schedule_.silence(shared_->loop.now()); }
 
@@ -97,7 +95,8 @@
   bool peer_reads_deflated_ = false;
   bool sends_compact_ = false;
   std::uint64_t heartbeat_sequence_ = 0;
-  std::uint64_t responses_end_ = 0;  ///< Bytes sent up to the end of the last response.
+  /// Bytes sent up to the end of the last response; 0 if the other end has acknowledged it.
+  std::uint64_t responses_end_ = 0;
   heartbeat_schedule schedule_;
   transit_delay transit_;
   timer_handle hello_timer_;
