Measure the identification of requests and the reading of a listing

The processor time that a sidecar spends on the crash counts of each request, and on each listing of the daemons' entries, was in no benchmark. `identify_request` does what the sidecar of a target does with the counts of one request that completes, while no crash, that of another request or that of the same request is known; `read_listing` and `read_entries` read 195 entries.

--- a/Benchmarks/sidecar/sidecar_benchmark.cpp
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -2,6 +2,7 @@
 /// change.
 
 #include <benchmark/benchmark.h>
+#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +10,10 @@
 #include "mesh/route_table.h"
 #include "mesh/upstream_pool.h"
 #include "platform/configuration_reader.h"
+#include "platform/contract.h"
+#include "platform/list_reader.h"
+#include "platform/names.h"
+#include "sidecar/sidecar_context.h"
 #include "wire/message_codec.h"
 
 namespace crocusdoor {
@@ -235,6 +240,115 @@
 }
 BENCHMARK(choose_upstream)->Arg(13)->Arg(90)->Arg(300);
 
+/// The objects that the parts of a sidecar share, without any network.
+struct shared_objects {
+  event_loop loop;
+  random_source random{1};
+  sidecar_settings options;
+  platform_contract contract = platform::make_contract();
+  retry_limit retries;
+  crash_counts crashes;
+  metrics counters;
+  decision_log log{loop, "instance", options.log, STDOUT_FILENO};
+  start_timeline start{loop, log, counters};
+  sidecar_context context{loop,    random, options,  contract, retries,
+                          crashes, log,    counters, start,    {instance_name("instance"), 1}};
+};
+
+/// Which requests have crashed targets.
+enum class known_crash { none, another_request, same_request };
+
+/// What a sidecar does with the crash counts of one request that runs on its target and completes:
+/// it looks them up when the request arrives and before it starts, and resets them at its end.
+void run_request(sidecar_context& shared, const wire::call& call, time_point now) {
+  for (int check = 0; check < 2; ++check) {
+    if (!shared.crashes.empty()) {
+      benchmark::DoNotOptimize(shared.crashes.refusal_left(identify(shared, call), now));
+    }
+  }
+  benchmark::DoNotOptimize(shared.crashes.counts(identify(shared, call)));
+  for (const crash_count& known : shared.crashes.counts(identify(shared, call))) {
+    benchmark::DoNotOptimize(shared.crashes.completed(known.request, now));
+  }
+}
+
+/// The first argument is a `known_crash`, the second the size of the body in bytes.
+void identify_request(benchmark::State& state) {
+  shared_objects objects;
+  const time_point now{std::chrono::seconds(100)};
+  const wire::envelope request = make_call(static_cast<std::size_t>(state.range(1)));
+  const auto& call = std::get<wire::call>(request.content);
+  const auto crash = static_cast<known_crash>(state.range(0));
+  if (crash != known_crash::none) {
+    const digest crashed =
+        crash == known_crash::same_request ? repeated_request_digest(call) : digest_of("another");
+    objects.crashes.crashed(crashed, {crashed}, now);
+  }
+  for (auto _ : state) {
+    run_request(objects.context, call, now);
+  }
+}
+BENCHMARK(identify_request)->ArgsProduct({{0, 1, 2}, {0, 5'000}});
+
+/// Returns a listing of the daemons' entries, as the store sends it. One in ten has a departure and
+/// a refused request.
+std::string make_listing(std::int64_t entries) {
+  json items = json::array();
+  for (std::int64_t i = 0; i < entries; ++i) {
+    const std::string number = std::to_string(i);
+    json spec = {{platform::names::entry_endpoint, "10.0.0." + number + ":7600"},
+                 {platform::names::entry_crashing_requests, json::array()},
+                 {platform::names::entry_departures, json::array()}};
+    if (i % 10 == 0) {
+      spec[platform::names::entry_crashing_requests].push_back(
+          {{"request", digest_of(number).str()}, {"clearings", 1}, {"crashes", 2}});
+      spec[platform::names::entry_departures].push_back(
+          {{"target", "target-" + number}, {"born", 1'700'000'000'000}, {"start_known", true}});
+    }
+    items.push_back(
+        {{"metadata", {{"name", "instance-" + number}, {"revision", i + 1}}}, {"spec", spec}});
+  }
+  return json{{"items", items}, {"storeRevision", entries}, {"truncated", false}}.dump();
+}
+
+void read_listing(benchmark::State& state) {
+  const std::string body = make_listing(state.range(0));
+  std::size_t readable = 0;
+  for (auto _ : state) {
+    readable = 0;
+    handle_failure(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(list, platform::read_list(body, "items"));
+          for (const std::string& element : list.elements) {
+            readable += platform::read_listed_daemon(element).readable ? 1 : 0;
+          }
+          return {};
+        },
+        [&](const failure& error) { state.SkipWithError(error.message.c_str()); });
+  }
+  state.counters["readable"] = static_cast<double>(readable);
+  state.counters["bytes"] = static_cast<double>(body.size());
+}
+BENCHMARK(read_listing)->Arg(195)->Unit(benchmark::kMicrosecond);
+
+/// The part of `read_listing` that reads the entries of a listing that has been split.
+void read_entries(benchmark::State& state) {
+  std::vector<std::string> elements;
+  handle_failure(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(list, platform::read_list(make_listing(state.range(0)), "items"));
+        elements = list.elements;
+        return {};
+      },
+      [&](const failure& error) { state.SkipWithError(error.message.c_str()); });
+  for (auto _ : state) {
+    for (const std::string& element : elements) {
+      benchmark::DoNotOptimize(platform::read_listed_daemon(element));
+    }
+  }
+}
+BENCHMARK(read_entries)->Arg(195)->Unit(benchmark::kMicrosecond);
+
 }  // namespace
 
 }  // namespace crocusdoor
