Compute the identity of a request once

Cause: the sidecar of a target computed the digest of a request when it arrived, before it started, when it started and when it completed, and the features of a suspected request as often, each time with a second digest. It did so at the start also while no crash was known.

Change: `request_identity` keeps the digest and the features with the request. While no crash is known, nothing is computed before the request completes; its counts are then taken for zero, as they are. The sidecar of the caller computes the digest once for all attempts. The check of `inbound_work` gets the request in place of its call, also in the request model.

--- a/Benchmarks/sidecar/sidecar_benchmark.cpp
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -261,13 +261,18 @@
 /// What a sidecar does with the crash counts of one request that runs on its target and completes:
 /// it looks them up when the request arrives and before it starts, and resets them at its end.
 void run_request(sidecar_context& shared, const wire::call& call, time_point now) {
+  const request_identity identity;
+  if (shared.crashes.empty()) {
+    const digest& request = identity.without_features(call).request;
+    benchmark::DoNotOptimize(shared.crashes.completed(request, now));
+    return;
+  }
   for (int check = 0; check < 2; ++check) {
-    if (!shared.crashes.empty()) {
-      benchmark::DoNotOptimize(shared.crashes.refusal_left(identify(shared, call), now));
-    }
+    const repeated_request& request = identify(shared, call, identity);
+    benchmark::DoNotOptimize(shared.crashes.refusal_left(request, now));
   }
-  benchmark::DoNotOptimize(shared.crashes.counts(identify(shared, call)));
-  for (const crash_count& known : shared.crashes.counts(identify(shared, call))) {
+  benchmark::DoNotOptimize(shared.crashes.counts(identify(shared, call, identity)));
+  for (const crash_count& known : shared.crashes.counts(identify(shared, call, identity))) {
     benchmark::DoNotOptimize(shared.crashes.completed(known.request, now));
   }
 }
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -57,7 +57,8 @@
     : shared_(shared),
       callbacks_(std::move(callbacks)),
       work_({shared.loop, shared.log, shared.counters, shared.contract.headers.attempt_id},
-            {[this](const wire::call& call) { return check(call); }, callbacks_.read_from_sender,
+            {[this](const inbound_request& request) { return check(request); },
+             callbacks_.read_from_sender,
              [this](const inbound_request_pointer& request) { run(request); },
              [this](std::uint64_t ticket) { cancel_exchange(ticket); }, callbacks_.send_response}),
       target_(shared.loop, shared.options.target.endpoint, target_client_options()),
@@ -80,15 +81,16 @@
   silence_timer_ = shared_.loop.every(silence_check_interval, [this] { check_target_silence(); });
 }
 
-inbound_refusal inbound_gateway::check(const wire::call& call) const {
+inbound_refusal inbound_gateway::check(const inbound_request& request) const {
   const auto& target = registry_.target();
-  if (!registry_.takes_requests() || target->announcement.service != call.service) {
+  if (!registry_.takes_requests() || target->announcement.service != request.call.service) {
     return {target.has_value() ? "target_leaving" : "no_target"};
   }
   if (shared_.crashes.empty()) {
     return {};
   }
-  const duration left = shared_.crashes.refusal_left(identify(shared_, call), shared_.loop.now());
+  const duration left = shared_.crashes.refusal_left(
+      identify(shared_, request.call, request.identity), shared_.loop.now());
   return left > duration::zero() ? inbound_refusal{crash_refusal_reason, left} : inbound_refusal{};
 }
 
@@ -116,10 +118,17 @@
   const http_call call = target_.send(
       outgoing_request(*request), request->deadline - shared_.loop.now() + response_grace_time,
       [this, request](const http_result& result) { exchange_ended(request, result); }, filter);
-  exchanges_[request->ticket] = {call, shared_.crashes.counts(identify(shared_, request->call)),
+  exchanges_[request->ticket] = {call, counts_at_start(*request),
                                  registry_.target()->announcement.born_ms};
 }
 
+std::vector<crash_count> inbound_gateway::counts_at_start(const inbound_request& request) const {
+  if (shared_.crashes.empty()) {
+    return {};
+  }
+  return shared_.crashes.counts(identify(shared_, request.call, request.identity));
+}
+
 void inbound_gateway::cancel_exchange(std::uint64_t ticket) {
   const auto found = exchanges_.find(ticket);
   if (found != exchanges_.end()) {
@@ -172,7 +181,7 @@
   }
   if (proof.deliverable) {
     if (result.response.headers.contains(shared_.contract.headers.seal)) {
-      request_completed(request->call);
+      request_completed(*request);
     }
     const http_headers headers = end_to_end_headers(result.response.headers);
     response.status = result.response.status;
@@ -182,7 +191,7 @@
     response.reason = std::string(to_string(end));
     shared_.log.info("target_exchange_failed",
                      {{"request", work_.attempt_id_of(*request)},
-                      {"digest", repeated_request_digest(request->call).str()},
+                      {"digest", request->identity.without_features(request->call).request.str()},
                       {"end", response.reason},
                       {"verdict", std::string(to_string(response.outcome))},
                       {"target", target_id()},
@@ -193,8 +202,8 @@
   if (end == target_exchange::connection_lost && !leaving) {
     // A crash must be known to the peers before the sender of the request tries another target.
     crash_watch_.exchange_lost(
-        {repeated_request_digest(request->call), known_crashes(*request, ended), ended.target_start,
-         now},
+        {request->identity.without_features(request->call).request, known_crashes(*request, ended),
+         ended.target_start, now},
         [this, request, response] { work_.finish(request, response, true); });
     return;
   }
@@ -223,11 +232,12 @@
 }
 
 /// The counts of a lost request when it began to run. If it has become suspected since, its
-/// features are counted from now on. They are zero if the exchange was cancelled after its end had
-/// been noticed.
+/// features are counted from now on. They are zero if no crash was known at its start, or if the
+/// exchange was cancelled after its end had been noticed.
 std::vector<crash_count> inbound_gateway::known_crashes(const inbound_request& request,
                                                         const running_exchange& ended) const {
-  std::vector<crash_count> known = shared_.crashes.counts(identify(shared_, request.call));
+  std::vector<crash_count> known =
+      shared_.crashes.counts(identify(shared_, request.call, request.identity));
   if (ended.known.size() == known.size()) {
     return ended.known;
   }
@@ -241,9 +251,16 @@
   return known;
 }
 
-void inbound_gateway::request_completed(const wire::call& call) {
+void inbound_gateway::request_completed(const inbound_request& request) {
+  if (shared_.crashes.empty()) {
+    // There is no count to reset, but the report of a crash may still be on its way.
+    shared_.crashes.completed(request.identity.without_features(request.call).request,
+                              shared_.loop.now());
+    return;
+  }
   std::vector<crash_count> reset;
-  for (const crash_count& known : shared_.crashes.counts(identify(shared_, call))) {
+  for (const crash_count& known :
+       shared_.crashes.counts(identify(shared_, request.call, request.identity))) {
     const auto count = shared_.crashes.completed(known.request, shared_.loop.now());
     if (count.has_value()) {
       reset.push_back(*count);
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -57,21 +57,25 @@
   /// A request that runs on the target.
   struct running_exchange {
     http_call call;
-    std::vector<crash_count> known;  ///< Counts of the request when it began to run.
+    /// Counts of the request when it began to run; empty while no crash is known to this daemon,
+    /// when all of them are zero.
+    std::vector<crash_count> known;
     std::uint64_t target_start = 0;  ///< `born_ms` of the target; 0 if it is not known.
   };
 
-  [[nodiscard]] inbound_refusal check(const wire::call& call) const;
+  [[nodiscard]] inbound_refusal check(const inbound_request& request) const;
   void run(const inbound_request_pointer& request);
   void cancel_exchange(std::uint64_t ticket);
   [[nodiscard]] http_request outgoing_request(const inbound_request& request) const;
+  /// The counts of a request now; empty while no crash is known.
+  [[nodiscard]] std::vector<crash_count> counts_at_start(const inbound_request& request) const;
   [[nodiscard]] target_exchange classify(const http_result& result) const;
   void exchange_ended(const inbound_request_pointer& request, const http_result& result);
   [[nodiscard]] std::vector<crash_count> known_crashes(const inbound_request& request,
                                                        const running_exchange& ended) const;
   void forget_lost_target(target_exchange end);
   /// Resets the crash count of a request that the target has run to its end.
-  void request_completed(const wire::call& call);
+  void request_completed(const inbound_request& request);
   void target_ended(const lost_exchanges& lost, crash_evidence evidence);
   /// Id of the registered target; empty if there is none.
   [[nodiscard]] std::string target_id() const;
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -41,7 +41,7 @@
   request->call = call;
   request->deadline = now + call.deadline_left_ms - call.transit;
   request->ticket = next_ticket_++;
-  inbound_refusal refusal = callbacks_.check(call);
+  inbound_refusal refusal = callbacks_.check(*request);
   if (received == receive_result::refused) {
     refusal = {"request_id_refused"};
   } else if (ends_at_.has_value() && request->deadline > *ends_at_) {
@@ -106,7 +106,7 @@
 
 void inbound_work::start(const request_pointer& request, bool link_open) {
   const time_point now = shared_.timers.now();
-  inbound_refusal refusal = callbacks_.check(request->call);
+  inbound_refusal refusal = callbacks_.check(*request);
   if (!link_open) {
     refusal = {link_lost_reason};
   } else if (request->deadline - now < minimum_time_left) {
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "daemon/metrics.h"
+#include "daemon/request_identity.h"
 #include "link/request_ledger.h"
 #include "mesh/failure_share.h"
 #include "mesh/slot_queue.h"
@@ -22,6 +23,7 @@
 struct inbound_request {
   instance_name from;
   wire::call call;
+  request_identity identity;  ///< Of `call`.
   time_point deadline;
   std::uint64_t ticket = 0;
   std::optional<time_point> started_at;  ///< When it was sent to the target.
@@ -56,7 +58,7 @@
 
   struct handlers {
     /// Whether the target can accept a request now.
-    std::function<inbound_refusal(const wire::call&)> check;
+    std::function<inbound_refusal(const inbound_request&)> check;
     /// Reads and handles all messages that the sender of a request has already sent. Returns
     /// whether the link over which the request arrived is still open.
     std::function<bool(const inbound_request&)> read_from_sender;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -160,7 +160,7 @@
   if (shared_.crashes.empty()) {
     return false;
   }
-  const repeated_request request = identify(shared_, call_);
+  const repeated_request& request = identify(shared_, call_, identity_);
   crashes_ = shared_.crashes.counts(request);
   std::erase_if(crashes_, [](const crash_count& count) { return count.crashes == 0; });
   const duration left = shared_.crashes.refusal_left(request, shared_.loop.now());
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -62,6 +62,7 @@
   mesh_route route_;
   service_name service_;
   wire::call call_;
+  request_identity identity_;         ///< Of `call_`.
   std::vector<crash_count> crashes_;  ///< Counts of the request before the latest attempt.
   std::vector<attempt> attempts_;
   std::vector<instance_name> tried_;  ///< Upstreams of the attempts, in their order.
--- a/Source/sidecar/sidecar_context.h
+++ b/Source/sidecar/sidecar_context.h
@@ -31,15 +31,17 @@
 };
 
 /// A request with the features by which its caller is told from others, if it is suspected.
-[[nodiscard]] inline repeated_request identify(const sidecar_context& shared,
-                                               const wire::call& call) {
-  const digest request = repeated_request_digest(call);
-  if (!shared.crashes.is_suspected(request)) {
-    return {request, {}};
+/// `identity` is that of `call`.
+[[nodiscard]] inline const repeated_request& identify(const sidecar_context& shared,
+                                                      const wire::call& call,
+                                                      const request_identity& identity) {
+  const repeated_request& request = identity.without_features(call);
+  if (!shared.crashes.is_suspected(request.request)) {
+    return request;
   }
   const exchange_headers& headers = shared.contract.headers;
-  return identify_repeated_request(
-      call, {headers.attempt_id, headers.deadline_ms, headers.expected_target});
+  return identity.with_features(call,
+                                {headers.attempt_id, headers.deadline_ms, headers.expected_target});
 }
 
 }  // namespace crocusdoor
--- a/Tests/sidecar/request_model.cpp
+++ b/Tests/sidecar/request_model.cpp
@@ -64,7 +64,7 @@
           [] {}, [](const instance_name&, wire::request_id, bool) {}});
   daemon.work = std::make_unique<inbound_work>(
       inbound_work::context{*daemon.timers, *daemon.log, daemon.counters, number_header},
-      inbound_work::handlers{[](const wire::call&) { return inbound_refusal(); },
+      inbound_work::handlers{[](const inbound_request&) { return inbound_refusal(); },
                              [this, index](const inbound_request& request) {
                                return read_all(index, request.from, request.call.link);
                              },
