--- a/Tests/platform_adapter/odd_entry_test.cpp
+++ b/Tests/platform_adapter/odd_entry_test.cpp
@@ -225,6 +225,15 @@
       CHECK(read_listed_daemon(entry_with_counts(element)).readable);
     }
   }
+  SECTION("and a syntax error among them does not hide the departures") {
+    for (const char* list : {"[7 8]", "[7,]", "[{\"request\" 7}]", "[,]"}) {
+      INFO(list);
+      const listed_daemon read = read_listed_daemon(entry_with_counts(
+          std::string(list) + R"(,"departures":[{"target":"i-1","born":5,"start_known":true}])"));
+      CHECK(read.readable);
+      CHECK(read.entry.departures == std::vector<target_departure>{{"i-1", 5, true}});
+    }
+  }
 }
 
 }  // namespace crocusdoor::platform
