Remove two functions that only forward

`entry_writer::update` only called `store`, and `target_registry::restore_departure` only called `record_departure`. One of each is left; the tests of the registry use its name, and check the same.

--- a/Source/mesh/target_registry.cpp
+++ b/Source/mesh/target_registry.cpp
@@ -64,10 +64,6 @@
   return later_registered ? announcement_result::outdated : announcement_result::accepted;
 }
 
-void target_registry::restore_departure(const target_departure& departure, time_point now) {
-  record_departure(departure, now);
-}
-
 void target_registry::discover(const target_announcement& announcement) {
   if (!target_.has_value() && !departures_.covers(announcement.id, 0)) {
     target_ = registered_target{announcement, false, {}, {}};
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -53,8 +53,9 @@
   /// Registers a target that a health check found before any heartbeat arrived. Changes nothing if
   /// a target is registered already or this one has withdrawn.
   void discover(const target_announcement& announcement);
-  /// Takes over a departure that a peer or the store has kept over a restart of this daemon.
-  void restore_departure(const target_departure& departure, time_point now);
+  /// Records a departure and marks the registered target as leaving if its start has left. Call
+  /// also for a departure that a peer or the store has kept over a restart of this daemon.
+  void record_departure(const target_departure& departure, time_point now);
   /// Removes the target, unless it is leaving: its response showed that another target has its
   /// address now.
   void forget(const std::string& id);
@@ -68,9 +69,6 @@
   [[nodiscard]] const target_departures& departures() const noexcept { return departures_; }
 
  private:
-  /// Records a departure and marks the registered target as leaving if its start has left.
-  void record_departure(const target_departure& departure, time_point now);
-
   std::optional<registered_target> target_;
   target_departures departures_;
 };
--- a/Source/sidecar/entry_writer.cpp
+++ b/Source/sidecar/entry_writer.cpp
@@ -41,7 +41,7 @@
   }
   wanted_.crashing_requests = stored_->crashing_requests;
   wanted_.departures = departures_.all();
-  store();
+  update();
   report_stored();
 }
 
@@ -82,10 +82,6 @@
          (awaited || shared_.loop.now() >= next_store_at_);
 }
 
-void entry_writer::update() {
-  store();
-}
-
 void entry_writer::close() {
   closed_ = true;
 }
@@ -93,10 +89,10 @@
 /// Does not wait for the next attempt after a failure.
 void entry_writer::store_at_once() {
   retry_timer_ = nullptr;
-  store();
+  update();
 }
 
-void entry_writer::store() {
+void entry_writer::update() {
   if (!may_store() || wanted_ == *stored_) {
     return;
   }
@@ -116,20 +112,20 @@
     revision_ = result.revision;
     next_store_at_ = shared_.loop.now() + store_interval;
     report_stored();
-    store();
+    update();
     return;
   }
   if (result.outcome == store_outcome::conflict && result.revision != revision_) {
     // Another write was executed first: an earlier one of this process without a response.
     revision_ = result.revision;
-    store();
+    update();
     return;
   }
   const duration delay = waiting_.empty() ? retry_delay : awaited_retry_delay;
   next_store_at_ = shared_.loop.now() + delay;
   const auto retry = [this] {
     retry_timer_ = nullptr;
-    store();
+    update();
   };
   if (result.outcome == store_outcome::not_found && !closed_) {
     storing_ = true;
--- a/Source/sidecar/entry_writer.h
+++ b/Source/sidecar/entry_writer.h
@@ -37,7 +37,7 @@
   /// any longer.
   void await_departures(stored_handler done);
 
-  /// Stores what has changed. Call about once a second.
+  /// Stores what has changed, unless it has to wait. Call about once a second.
   void update();
   /// Ends all writes, because the entry is about to be removed.
   void close();
@@ -51,7 +51,6 @@
 
   [[nodiscard]] bool departures_stored() const;
   [[nodiscard]] bool may_store() const;
-  void store();
   void store_at_once();
   void write_ended(const daemon_entry& written, const daemon_write& result);
   void report_stored();
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -297,7 +297,7 @@
 }
 
 void inbound_gateway::restore_departure(const target_departure& departure) {
-  registry_.restore_departure(departure, shared_.loop.now());
+  registry_.record_departure(departure, shared_.loop.now());
   target_changed();
 }
 
--- a/Tests/mesh/target_registry_test.cpp
+++ b/Tests/mesh/target_registry_test.cpp
@@ -149,7 +149,7 @@
     SECTION("which does not affect the starts of other targets after a restart of the daemon") {
       target_registry restarted;
       for (const target_departure& departure : registry.departures().all()) {
-        restarted.restore_departure(departure, at(3));
+        restarted.record_departure(departure, at(3));
       }
       CHECK(restarted.announce(announcement("b", 200, 1), at(4)) == announcement_result::outdated);
       CHECK(restarted.announce(announcement("a", 100, 6), at(4)) == announcement_result::accepted);
@@ -207,18 +207,18 @@
 
   target_registry after;
   SECTION("received before the first heartbeat") {
-    after.restore_departure(departure, at(2));
+    after.record_departure(departure, at(2));
     CHECK(after.announce(announcement("a", 100, 4), at(3)) == announcement_result::outdated);
     CHECK_FALSE(after.takes_requests());
   }
   SECTION("received after a delayed heartbeat") {
     CHECK(after.announce(announcement("a", 100, 4), at(2)) == announcement_result::accepted);
-    after.restore_departure(departure, at(3));
+    after.record_departure(departure, at(3));
     CHECK_FALSE(after.takes_requests());
   }
   SECTION("a later start is not affected") {
     CHECK(after.announce(announcement("a", 200, 1), at(2)) == announcement_result::accepted);
-    after.restore_departure(departure, at(3));
+    after.record_departure(departure, at(3));
     CHECK(after.takes_requests());
   }
 }
