Wait at the end of a stop for peers that may still ask for an outcome

Callers would see: 502 for a request that had run, when the link between the two sidecars was lost at the end of the stop of the upstream's sidecar.

Change: for 2 s after such a loss, or until the peer has asked, a stopping sidecar does not count as finished, within its time to stop.

Evidence: the section "a peer whose link was lost with a response may ask for the outcome" cannot be built without unclaimed_responses; without the new term in planned_stop::busy the stop ends 3.0 s after it began, as in the section "no peer has a response due".

--- a/Source/sidecar/planned_stop.cpp
+++ b/Source/sidecar/planned_stop.cpp
@@ -49,7 +49,7 @@
 
 bool planned_stop::busy() const {
   return shared_.callers.active() > 0 || shared_.work.active() > 0 ||
-         shared_.links.links_with_responses() > 0;
+         shared_.links.links_with_responses() > 0 || shared_.unclaimed.any(shared_.loop.now());
 }
 
 void planned_stop::log_state(const char* event) const {
--- a/Source/sidecar/planned_stop.h
+++ b/Source/sidecar/planned_stop.h
@@ -6,6 +6,7 @@
 #include "daemon/stop_watch.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/inbound_work.h"
+#include "sidecar/unclaimed_responses.h"
 #include "transport/event_loop.h"
 #include "transport/http_server.h"
 
@@ -21,6 +22,7 @@
     http_server& callers;
     inbound_work& work;
     const peer_mesh& links;
+    unclaimed_responses& unclaimed;
   };
 
   /// `time_limit` is the time from SIGTERM until the process is killed.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -80,8 +80,8 @@
           [this](const instance_name& to, const wire::call_answer& response) {
             if (to == shared_.self.name) {
               router_->receive_local_response(response);
-            } else {
-              mesh_->send(to, response);
+            } else if (!mesh_->send(to, response)) {
+              unclaimed_.lost(to, loop_.now());
             }
           },
           [this](const inbound_request& request) {
@@ -126,7 +126,7 @@
         std::make_shared<outbound_request>(*services_, exchange)->start();
       });
   stop_ = std::make_unique<planned_stop>(
-      planned_stop::context{loop_, log_, *callers_, gateway_->work(), *mesh_},
+      planned_stop::context{loop_, log_, *callers_, gateway_->work(), *mesh_, unclaimed_},
       options_.bounds.stop_s);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
@@ -217,6 +217,7 @@
     gateway_->work().link_lost(peer, link);
   };
   callbacks.responses_unsent = [this](const instance_name& peer, const std::string& reason) {
+    unclaimed_.lost(peer, loop_.now());
     counters_.count_undelivered_response("peer", "link_lost");
     log_.warning("responses_unsent", {{"peer", peer.str()}, {"reason", reason}});
   };
@@ -240,7 +241,9 @@
     gateway_->work().cancel(from, mesh_->call_sender_incarnation(from, content), content.id);
   });
   dispatcher.on<wire::call_status>([this](const instance_name& from, const auto& query) {
-    mesh_->send(from, gateway_->work().status(from, query));
+    if (mesh_->send(from, gateway_->work().status(from, query))) {
+      unclaimed_.claimed(from);
+    }
   });
   dispatcher.on<wire::records>([this](const instance_name& from, const wire::records& content) {
     for (const instance_record& record : content.changed) {
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -97,6 +97,7 @@
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
+  unclaimed_responses unclaimed_;
   std::unique_ptr<planned_stop> stop_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<suspicion_api> suspicion_api_;
--- a/Tests/sidecar/planned_stop_test.cpp
+++ b/Tests/sidecar/planned_stop_test.cpp
@@ -20,7 +20,9 @@
   log_settings.minimum_level = log_level::error;
   decision_log log(pair.loop, "daemon", log_settings, STDOUT_FILENO);
   inbound_work work({pair.loop, log, counters, "X-Attempt-Id"}, {});
-  planned_stop stop({pair.loop, log, callers, work, pair.daemon.mesh()}, std::chrono::seconds(6));
+  unclaimed_responses unclaimed;
+  planned_stop stop({pair.loop, log, callers, work, pair.daemon.mesh(), unclaimed},
+                    std::chrono::seconds(6));
   bool stopped = false;
   const auto run_for_or_stop = [&](duration span) {
     const time_point end = pair.loop.now() + span;
@@ -47,6 +49,22 @@
     run_for_or_stop(std::chrono::milliseconds(1'000));
     CHECK(stopped);
   }
+  SECTION("a peer whose link was lost with a response may ask for the outcome") {
+    stop.begin();
+    run_for_or_stop(std::chrono::milliseconds(2'900));
+    unclaimed.lost(pair.peer_name, pair.loop.now());
+    run_for_or_stop(std::chrono::milliseconds(1'500));
+    CHECK_FALSE(stopped);
+    SECTION("and asks") {
+      unclaimed.claimed(pair.peer_name);
+      run_for_or_stop(std::chrono::milliseconds(400));
+      CHECK(stopped);
+    }
+    SECTION("and does not") {
+      run_for_or_stop(std::chrono::milliseconds(900));
+      CHECK(stopped);
+    }
+  }
   SECTION("no peer has a response due") {
     stop.begin();
     run_for_or_stop(std::chrono::milliseconds(4'000));
