Answer the departure of the target before a stop ends

A target that leaves gets its acknowledgement once the store has its departure, up to 800 ms later.

A stop now waits for requests at the registration address as well, within its time to stop.

--- a/Source/sidecar/planned_stop.cpp
+++ b/Source/sidecar/planned_stop.cpp
@@ -48,8 +48,9 @@
 }
 
 bool planned_stop::busy() const {
-  return shared_.callers.active() > 0 || shared_.work.active() > 0 ||
-         shared_.links.links_with_responses() > 0 || shared_.unclaimed.any(shared_.loop.now());
+  return shared_.callers.active() > 0 || shared_.registration.active() > 0 ||
+         shared_.work.active() > 0 || shared_.links.links_with_responses() > 0 ||
+         shared_.unclaimed.any(shared_.loop.now());
 }
 
 void planned_stop::log_state(const char* event) const {
--- a/Source/sidecar/planned_stop.h
+++ b/Source/sidecar/planned_stop.h
@@ -20,6 +20,7 @@
     event_loop& loop;
     decision_log& log;
     http_server& callers;
+    const http_server& registration;
     inbound_work& work;
     const peer_mesh& links;
     unclaimed_responses& unclaimed;
--- a/Source/sidecar/registration_server.h
+++ b/Source/sidecar/registration_server.h
@@ -18,6 +18,8 @@
  public:
   registration_server(const sidecar_context& shared, inbound_gateway& gateway, entry_writer& entry);
 
+  [[nodiscard]] const http_server& server() const noexcept { return server_; }
+
  private:
   void receive(const std::shared_ptr<http_exchange>& exchange);
   /// Returns whether the message announces a departure.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -125,9 +125,6 @@
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
       });
-  stop_ = std::make_unique<planned_stop>(
-      planned_stop::context{loop_, log_, *callers_, gateway_->work(), *mesh_, unclaimed_},
-      options_.bounds.stop_s);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
@@ -143,6 +140,10 @@
         }
       });
   registration_ = std::make_unique<registration_server>(shared_, *gateway_, *entry_);
+  stop_ = std::make_unique<planned_stop>(
+      planned_stop::context{loop_, log_, *callers_, registration_->server(), gateway_->work(),
+                            *mesh_, unclaimed_},
+      options_.bounds.stop_s);
 }
 
 sidecar_daemon::~sidecar_daemon() = default;
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -97,12 +97,12 @@
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
-  unclaimed_responses unclaimed_;
-  std::unique_ptr<planned_stop> stop_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<suspicion_api> suspicion_api_;
   std::unique_ptr<http_server> metrics_server_;
   std::unique_ptr<registration_server> registration_;
+  unclaimed_responses unclaimed_;
+  std::unique_ptr<planned_stop> stop_;
   /// Incarnation and sequence number of the newest record of each peer.
   std::map<instance_name, std::pair<std::uint64_t, std::uint64_t>> newest_records_;
   /// Departures of the target beside each instance, including this one.
