--- a/Tests/platform_adapter/odd_entry_test.cpp
+++ b/Tests/platform_adapter/odd_entry_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/record_codec.h"
@@ -51,6 +52,56 @@
   };
 }
 
+/// A valid JSON text with one change of another writer.
+struct spoiled_text {
+  std::string text;
+  std::size_t position = 0;  ///< Of the change.
+  bool replaced = false;     ///< Whether one byte was replaced; otherwise the text ends there.
+  /// Whether the change affects no quote and no bracket, so that a list that contains the text is
+  /// still split into the same elements.
+  bool separable = false;
+};
+
+/// The text with each byte replaced by each character of JSON's structure and by a letter, and the
+/// text cut at each byte.
+std::vector<spoiled_text> spoiled_texts(const std::string& valid) {
+  constexpr std::string_view replacements = "{}[]:,\"x";
+  constexpr std::string_view delimiters = "{}[]\"";
+  std::vector<spoiled_text> texts;
+  for (std::size_t position = 0; position < valid.size(); ++position) {
+    texts.push_back({valid.substr(0, position), position, false, false});
+    const bool delimiter = delimiters.find(valid[position]) != std::string_view::npos;
+    for (const char byte : replacements) {
+      spoiled_text spoiled{valid, position, true, false};
+      spoiled.text[position] = byte;
+      spoiled.separable = !delimiter && delimiters.find(byte) == std::string_view::npos;
+      texts.push_back(spoiled);
+    }
+  }
+  return texts;
+}
+
+/// Valid entries of the daemon "n" that have each member that is read. The members of an object are
+/// looked up by name, so what precedes a syntax error depends on their order.
+std::vector<std::string> full_entries() {
+  const std::string first = R"(")" + digest_of("first").str() + R"(")";
+  const std::string second = R"(")" + digest_of("second").str() + R"(")";
+  const std::string departures = R"("departures":[{"target":"i-1","born":5,"start_known":true},)"
+                                 R"({"start_known":false,"born":6,"target":"i-2"}])";
+  return {
+      R"({"metadata":{"name":"n","revision":4},"spec":{"endpoint":"10.0.0.3:7600",)"
+      R"("crashingRequests":[{"request":)" +
+          first + R"(,"clearings":0,"crashes":2,"base":)" + second + R"(,"group":)" + first +
+          R"(},{"group":)" + first + R"(,"base":)" + second +
+          R"(,"crashes":2,"clearings":0,"request":)" + second + "}]," + departures + "}}",
+      R"({"spec":{)" + departures + R"(,"crashingRequests":[{"base":)" + first +
+          R"(,"clearings":0,"crashes":2,"group":)" + second + R"(,"request":)" + first +
+          R"(},{"group":)" + second + R"(,"request":)" + second +
+          R"(,"clearings":0,"crashes":2,"base":)" + first +
+          R"(}],"endpoint":"10.0.0.3:7600"},"metadata":{"revision":4,"name":"n"}})",
+  };
+}
+
 std::string joined(const std::vector<std::string>& items) {
   std::string text;
   for (const std::string& item : items) {
@@ -59,6 +110,16 @@
   return text;
 }
 
+/// The object of the store with a configuration that has each member that is read.
+std::string configuration_object() {
+  return R"({"metadata":{"name":"main","revision":6},"spec":{"version":3,"routes":[)"
+         R"({"name":"r","host":"h","pathPrefix":"/","routeType":"safe","timeoutMs":9,)"
+         R"("targetLatencyMs":8,"priority":1,"attempts":2,"weightedBackends":[)"
+         R"({"service":"s","weight":1},{"service":"t","weight":2}]}],"services":[)"
+         R"({"name":"s","healthPath":"/h","maxConnections":3}],"limits":{"maxHeaderBytes":1,)"
+         R"("maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1}}})";
+}
+
 std::string list_of(const std::vector<std::string>& items, bool truncated = false) {
   return R"({"items":[)" + joined(items) + R"(],"truncated":)" + (truncated ? "true" : "false") +
          R"(,"storeRevision":7})";
@@ -146,9 +207,92 @@
   }
 }
 
+// Guards against a segmentation fault: after a syntax error, further members were looked up in a
+// document that the parser had abandoned.
+TEST_CASE("a syntax error in the entry of another writer does not end the process",
+          "[platform_adapter][F7]") {
+  SECTION("among the members of a crash count") {
+    const std::string valid =
+        R"({"request":")" + digest_of("one").str() + R"(","clearings":0,"crashes":2)";
+    const listed_daemon read =
+        read_listed_daemon(entry_with_counts("[" + valid + R"(,"{}base":"spec":,"group":"x"}])"));
+    CHECK(read.readable);
+    CHECK(read.entry.endpoint == "10.0.0.1:7600");
+  }
+  SECTION("at any byte") {
+    for (const std::string& valid : full_entries()) {
+      const listed_daemon whole = read_listed_daemon(valid);
+      REQUIRE(whole.readable);
+      REQUIRE(whole.revision == 4);
+      REQUIRE(whole.entry.crashing_requests.size() == 2);
+      REQUIRE(whole.entry.departures.size() == 2);
+      for (const spoiled_text& spoiled : spoiled_texts(valid)) {
+        INFO(spoiled.text);
+        const listed_daemon read = read_listed_daemon(spoiled.text);
+        CHECK(read.entry.crashing_requests.size() <= 2);
+        CHECK(read.entry.departures.size() <= 2);
+      }
+    }
+  }
+  SECTION("after its name and its endpoint, which hold") {
+    const std::string valid = full_entries().front();
+    const std::size_t counts = valid.find(R"(,"crashingRequests")");
+    for (const spoiled_text& spoiled : spoiled_texts(valid)) {
+      if (spoiled.position >= counts && spoiled.separable) {
+        INFO(spoiled.text);
+        const listed_daemon read = read_listed_daemon(spoiled.text);
+        CHECK(read.readable);
+        CHECK(read.name == "n");
+        CHECK(read.revision == 4);
+        CHECK(read.entry.endpoint == "10.0.0.3:7600");
+      }
+    }
+  }
+  SECTION("among its crash counts, which do not hide its departures") {
+    const std::string valid = full_entries().front();
+    const std::vector<target_departure> departures = read_listed_daemon(valid).entry.departures;
+    const std::size_t counts = valid.find(R"([{"request")");
+    const std::size_t end = valid.find(R"(],"departures")");
+    for (const spoiled_text& spoiled : spoiled_texts(valid)) {
+      if (spoiled.position > counts && spoiled.position < end && spoiled.separable) {
+        INFO(spoiled.text);
+        CHECK(read_listed_daemon(spoiled.text).entry.departures == departures);
+      }
+    }
+  }
+}
+
+// Guards against a listing that ends the process or loses other daemons because of one entry.
+TEST_CASE("a syntax error in an entry of a listing does not hide the other daemons",
+          "[platform_adapter][F7]") {
+  const std::string before = entry("a", "10.0.0.1:7600");
+  const std::string after = entry("z", "10.0.0.2:7600");
+  for (const std::string& valid : full_entries()) {
+    for (const spoiled_text& spoiled : spoiled_texts(valid)) {
+      INFO(spoiled.text);
+      std::vector<std::string> names;
+      handle_failure(
+          [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(list, read_list(list_of({before, spoiled.text, after}), "items"));
+            for (const std::string& element : list.elements) {
+              names.push_back(read_listed_daemon(element).name);
+            }
+            return {};
+          },
+          [&](const failure&) { names.clear(); });
+      if (spoiled.separable) {
+        REQUIRE(names.size() == 3);
+        CHECK(names.front() == "a");
+        CHECK(names.back() == "z");
+      }
+    }
+  }
+}
+
 TEST_CASE("a listing that cannot be read is not an empty listing", "[platform_adapter][F7]") {
   event_loop loop;
-  for (const char* body : {"", "{", "[]", "{\"items\":{}}", "{\"items\":[{]}", "not JSON"}) {
+  for (const char* body : {"", "{", "[]", "{\"items\":{}}", "{\"items\":[{]}", "{\"items\":[,]}",
+                           "{\"items\":[{},,{}]}", "{\"items\":[{}}", "not JSON"}) {
     INFO(body);
     const daemon_listing listing = list_daemons(loop, {body});
     CHECK(listing.outcome == store_outcome::unreadable);
@@ -180,6 +324,45 @@
   CHECK(read_configuration_object("{").outcome == store_outcome::unreadable);
 }
 
+// Guards against an event or a configuration with a syntax error that ends the process or hides a
+// valid configuration.
+TEST_CASE("a syntax error in a configuration does not end the process or hide another one",
+          "[platform_adapter][F7]") {
+  const std::string object = configuration_object();
+  REQUIRE(read_configuration_object(object).configuration.has_value());
+  const std::string event = R"({"object":)" + object + R"(,"deleted":false})";
+  const std::string document = object.substr(object.find(R"({"version")"));
+  for (const spoiled_text& spoiled : spoiled_texts(event)) {
+    INFO(spoiled.text);
+    for (const auto& events :
+         {std::vector{spoiled.text, event}, std::vector{event, spoiled.text}}) {
+      const configuration_read_result result =
+          read_configuration_events(R"({"events":[)" + joined(events) + R"(],"storeRevision":9})");
+      if (spoiled.separable) {
+        CHECK(result.outcome == store_outcome::done);
+        CHECK(result.revision == 9);
+        CHECK(result.configuration.has_value());
+      }
+    }
+  }
+  for (const spoiled_text& spoiled : spoiled_texts(object)) {
+    INFO(spoiled.text);
+    const configuration_read_result result = read_configuration_object(spoiled.text);
+    CHECK((spoiled.replaced || result.outcome == store_outcome::unreadable));
+  }
+  // The last character closes the object and is not part of the document.
+  for (const spoiled_text& spoiled : spoiled_texts(document.substr(0, document.size() - 1))) {
+    INFO(spoiled.text);
+    const bool decoded = handle_failure(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(decode_configuration(spoiled.text));
+          return true;
+        },
+        [](const failure&) { return false; });
+    CHECK((spoiled.replaced || !decoded));
+  }
+}
+
 TEST_CASE("the crash counts in the entry of a daemon are read as they were stored",
           "[platform_adapter][F6]") {
   event_loop loop;
