--- a/Tests/linked_daemon.h
+++ b/Tests/linked_daemon.h
@@ -54,10 +54,15 @@
   peer_mesh mesh_;
 };
 
-/// Runs a loop for a while, or until it is stopped.
-inline void run_for(event_loop& loop, duration time) {
-  const timer_handle end = loop.after(time, [&] { loop.stop(); });
+/// Runs a loop for a while, or until it is stopped. Returns whether it was stopped.
+inline bool run_for(event_loop& loop, duration time) {
+  bool timed_out = false;
+  const timer_handle end = loop.after(time, [&] {
+    timed_out = true;
+    loop.stop();
+  });
   loop.run();
+  return !timed_out;
 }
 
 /// A port on which no daemon listens yet.
