Notice failed connections, and close no more of them than the limits need

A failed connection counts as delivered for a stop and is closed at the next check. Section "a client that closes its sending side and then leaves is noticed". - A client that ended its sending side behind the beginning of another request lost the rest of its response. No more are closed than are over the limit. - The limit of unread output could close a connection that is being answered; its response would have been dropped without a line. Such connections are left out.

transport_tests: 27 cases pass. The two limits have no test of their own.

--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -24,9 +24,9 @@
 
 /// How often the timeouts of connections are checked.
 constexpr duration timeout_check_interval = std::chrono::milliseconds(200);
-/// How long a connection that the server ends stays open after the client has acknowledged the last
-/// response. Closing a socket with unread input resets the connection, and the client could lose a
-/// response that it has not read.
+/// How long a connection that the server ends stays open after its last response or, if the client
+/// had not acknowledged it by then, after the acknowledgement. Closing a socket with unread input
+/// resets the connection, and the client could lose a response that it has not read.
 constexpr duration linger_time = std::chrono::seconds(1);
 /// Maximum input of one connection that waits to be handled; it holds pipelined requests.
 constexpr std::size_t input_limit_bytes = 65'536;
@@ -68,6 +68,7 @@
       : loop(owner), on_request(std::move(handler)), limits(server_limits) {}
 
   void check_connections();
+  void close_excess_connections(time_point now);
   void limit_unsent_output();
 };
 
@@ -174,6 +175,7 @@
     const bool unused = phase_ == phase::idle || phase_ == phase::lingering;
     return unused && !is_delivered() && now - last_active_at_ >= stalled_time;
   }
+  [[nodiscard]] bool is_answering() const noexcept { return phase_ == phase::answering; }
   [[nodiscard]] time_point last_active_at() const noexcept { return last_active_at_; }
   [[nodiscard]] std::size_t unsent_output() const {
     return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
@@ -219,9 +221,10 @@
     return server == nullptr ? last_active_at_ : server->loop.now();
   }
 
-  /// Whether the client has acknowledged all responses. Notes when it has taken a part of them.
+  /// Whether the client has acknowledged all responses, or will not because the connection has
+  /// failed. Notes when it has taken a part of them.
   bool is_delivered() {
-    if (!delivering_ || stream_ == nullptr) {
+    if (!delivering_ || has_failed()) {
       return true;
     }
     const std::size_t remaining = undelivered_bytes();
@@ -234,12 +237,21 @@
     return !delivering_;
   }
 
+  /// The loop reports no reset after the client has ended its sending side.
+  [[nodiscard]] bool has_failed() const {
+    return stream_ == nullptr || connection_has_failed(bufferevent_getfd(stream_));
+  }
+
   /// Closes a connection without a request `unused_limit` after its last response was delivered, or
   /// earlier if the client takes nothing of that response.
   void check_unused(duration unused_limit, const http_server_limits& limits, time_point now) {
     if (now - last_active_at_ < std::min(unused_limit, delivery_check_delay)) {
       return;
     }
+    if (delivering_ && has_failed()) {
+      client_closed(delivery_failure::connection_failed);
+      return;
+    }
     const bool delivered = is_delivered();
     if (!delivered && acknowledgements_.is_silent(bufferevent_getfd(stream_), now)) {
       close(delivery_failure::client_silent);
@@ -367,7 +379,7 @@
     if (action) {
       const std::size_t bytes = undelivered_bytes();
       if (bytes > 0) {
-        action({cause, bytes});
+        action({client_ended_ ? delivery_failure::closed_by_client : cause, bytes});
       }
     }
   }
@@ -375,10 +387,10 @@
   /// Handles the end of the client's sending side. A client that has only ended that side still
   /// gets the rest of its response; writing to one that has closed the connection fails.
   void client_ended() {
-    const bool waiting = phase_ == phase::idle || phase_ == phase::lingering;
-    if (!waiting || is_delivered()) {
+    client_ended_ = true;
+    if (phase_ == phase::answering || is_delivered()) {
       client_closed(delivery_failure::closed_by_client);
-    } else if (phase_ == phase::idle) {
+    } else if (phase_ != phase::lingering) {
       finish_writing();
     }
   }
@@ -423,6 +435,7 @@
   bool continue_sent_ = false;
   bool served_ = false;  ///< Whether a request of this connection has been answered.
   bool sending_ended_ = false;
+  bool client_ended_ = false;        ///< Whether the client has ended its sending side.
   bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
   std::size_t remaining_bytes_ = 0;  ///< Unacknowledged at the last check; 0 before the first one.
   acknowledgement_watch acknowledgements_;
@@ -436,29 +449,54 @@
   const time_point now = loop.now();
   for (const auto& connection : connections) {
     connection->check_timeouts(limits, now);
-    if (connections.size() > connection_limit) {
-      if (connection->is_idle()) {
-        connection->close();
-      } else if (connection->is_stalled(now)) {
-        connection->close(delivery_failure::output_limit);
-      }
+  }
+  if (connections.size() > connection_limit) {
+    close_excess_connections(now);
+  }
+}
+
+namespace {
+
+/// Orders connections by the time since their clients have read something, longest first.
+bool longer_inactive(const http_server_state::connection_pointer& left,
+                     const http_server_state::connection_pointer& right) {
+  return left->last_active_at() < right->last_active_at();
+}
+
+}  // namespace
+
+/// Closes connections above the limit: idle ones, then those whose clients do not read.
+void http_server_state::close_excess_connections(time_point now) {
+  std::size_t excess = connections.size() - connection_limit;
+  std::vector<connection_pointer> stalled;
+  for (const connection_pointer& connection : connections) {
+    if (excess > 0 && connection->is_idle()) {
+      connection->close();
+      --excess;
+    } else if (connection->is_stalled(now)) {
+      stalled.push_back(connection);
     }
   }
+  std::sort(stalled.begin(), stalled.end(), longer_inactive);
+  stalled.resize(std::min(excess, stalled.size()));
+  for (const connection_pointer& connection : stalled) {
+    connection->close(delivery_failure::output_limit);
+  }
 }
 
 void http_server_state::limit_unsent_output() {
-  const auto longest_first = [](const auto& left, const auto& right) {
-    return left->last_active_at() < right->last_active_at();
-  };
   std::vector<connection_pointer> unsent;
   std::size_t bytes = 0;
   for (const connection_pointer& connection : connections) {
     if (connection->unsent_output() > 0) {
-      unsent.push_back(connection);
+      // The client of one that is being answered waits for the next response; its output is small.
+      if (!connection->is_answering()) {
+        unsent.push_back(connection);
+      }
       bytes += connection->unsent_output();
     }
   }
-  std::sort(unsent.begin(), unsent.end(), longest_first);
+  std::sort(unsent.begin(), unsent.end(), longer_inactive);
   for (std::size_t i = 0; i < unsent.size() && bytes > total_unsent_limit_bytes; ++i) {
     bytes -= unsent[i]->unsent_output();
     unsent[i]->close(delivery_failure::output_limit);
--- a/Source/transport/socket_state.cpp
+++ b/Source/transport/socket_state.cpp
@@ -22,6 +22,11 @@
   return ::poll(&poll_request, 1, 0) > 0;
 }
 
+bool connection_has_failed(int descriptor) {
+  pollfd poll_request{descriptor, 0, 0};
+  return ::poll(&poll_request, 1, 0) > 0 && (poll_request.revents & POLLERR) != 0;
+}
+
 std::size_t unacknowledged_bytes(int descriptor) {
   int bytes = 0;
   return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes)
