Add the types and messages that the parts for hard load share

Configurations with workspaces and routes for large responses were not read: one unknown value of a route's kind made the whole configuration unreadable, and no request was served.

--- a/Source/membership/instance_record.h
+++ b/Source/membership/instance_record.h
@@ -47,6 +47,7 @@
   std::uint16_t api_port = 0;                   ///< Port of the intent API.
   std::int32_t slots = 1;                       ///< Requests that the target runs concurrently.
   std::chrono::milliseconds warmup_left_ms{0};  ///< Remaining warm-up time of the target.
+  std::string target_version;  ///< Of the target's software; empty if it is not known.
   friend bool operator==(const instance_record&, const instance_record&) = default;
 };
 
@@ -64,7 +65,8 @@
                       required_field("peer_port", &instance_record::peer_port),
                       required_field("api_port", &instance_record::api_port),
                       required_field("slots", &instance_record::slots, {1, 10'000}),
-                      optional_field("warmup_left_ms", &instance_record::warmup_left_ms));
+                      optional_field("warmup_left_ms", &instance_record::warmup_left_ms),
+                      optional_field("target_version", &instance_record::target_version));
 };
 
 }  // namespace crocusdoor
--- a/Source/mesh/configuration_change.cpp
+++ b/Source/mesh/configuration_change.cpp
@@ -43,6 +43,13 @@
   fields.add(route.latency_objective_ms.count());
   fields.add(route.attempts);
   fields.add(route.rank);
+  // Added only where they are set, so that daemons that do not know them yet get the same hash.
+  if (route.large_responses) {
+    fields.add("large_responses");
+  }
+  if (route.open_to_all) {
+    fields.add("open_to_all");
+  }
   return fields.hash();
 }
 
@@ -54,6 +61,18 @@
   return fields.hash();
 }
 
+std::uint64_t fingerprint_of(const mesh_workspace& workspace) {
+  field_text fields;
+  fields.add(workspace.name.str());
+  for (const std::string& key : workspace.api_keys) {
+    fields.add(key);
+  }
+  fields.add(workspace.rank);
+  fields.add(std::to_string(workspace.rate_per_s));
+  fields.add(std::to_string(workspace.burst));
+  return fields.hash();
+}
+
 }  // namespace
 
 std::uint64_t fingerprint_of(const mesh_configuration& configuration) {
@@ -65,6 +84,9 @@
   for (const mesh_service& service : configuration.services) {
     sum += fingerprint_of(service);
   }
+  for (const mesh_workspace& workspace : configuration.workspaces) {
+    sum += fingerprint_of(workspace);
+  }
   field_text limits;
   limits.add(static_cast<std::int64_t>(configuration.limits.header_bytes));
   limits.add(static_cast<std::int64_t>(configuration.limits.body_bytes));
@@ -81,6 +103,9 @@
   change.services = after.services;
   change.limits = after.limits;
   change.fingerprint = fingerprint_of(after);
+  if (after.workspaces != before.workspaces) {
+    change.workspaces = after.workspaces;
+  }
   std::map<route_key, const mesh_route*> old_routes;
   for (const mesh_route& route : before.routes) {
     old_routes[key_of(route)] = &route;
@@ -117,6 +142,9 @@
   base.version = change.version;
   base.services = change.services;
   base.limits = change.limits;
+  if (change.workspaces.has_value()) {
+    base.workspaces = *change.workspaces;
+  }
   if (fingerprint_of(base) != change.fingerprint) {
     return leaf::new_error(failure{error_code::conflict, "the result differs from the sender's"});
   }
--- a/Source/mesh/configuration_change.h
+++ b/Source/mesh/configuration_change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/error.h"
@@ -25,6 +26,8 @@
   std::vector<mesh_service> services;
   caller_limits limits;
   std::uint64_t fingerprint = 0;  ///< Of the complete later version.
+  /// All workspaces of the later version; empty if they are the same as in the base version.
+  std::optional<std::vector<mesh_workspace>> workspaces;
   friend bool operator==(const configuration_change&, const configuration_change&) = default;
 };
 
--- a/Source/mesh/mesh_configuration.h
+++ b/Source/mesh/mesh_configuration.h
@@ -10,6 +10,9 @@
 
 namespace crocusdoor {
 
+/// Name of a workspace.
+using workspace_name = strong_string<struct workspace_name_tag>;
+
 /// A service that a route sends to and its share of the requests.
 struct weighted_service {
   service_name service;
@@ -25,6 +28,8 @@
   std::string path_prefix;                 ///< Begins and ends with a slash.
   std::vector<weighted_service> services;  ///< At least one.
   bool idempotent = false;                 ///< Whether a request may run more than once.
+  bool large_responses = false;            ///< Whether most of its responses are large.
+  bool open_to_all = false;                ///< Whether its requests need no API key.
   std::chrono::milliseconds timeout_ms{0};
   std::chrono::milliseconds latency_objective_ms{0};
   std::int32_t attempts = 1;  ///< Maximum number of upstreams that one request is sent to.
@@ -39,6 +44,17 @@
   friend bool operator==(const mesh_service&, const mesh_service&) = default;
 };
 
+/// Callers that share API keys, a quota and a rank.
+struct mesh_workspace {
+  workspace_name name;
+  std::vector<std::string> api_keys;
+  std::int32_t rank = 0;  ///< 0 is the most urgent; counts before the rank of a route.
+  /// Requests per second over all daemons together; 0 is no limit.
+  double rate_per_s = 0;
+  double burst = 0;  ///< Requests that may exceed the rate after a pause.
+  friend bool operator==(const mesh_workspace&, const mesh_workspace&) = default;
+};
+
 /// Limits on the size of callers' requests and on the time that callers may take.
 struct caller_limits {
   std::size_t header_bytes = 0;
@@ -54,6 +70,8 @@
   std::vector<mesh_route> routes;
   std::vector<mesh_service> services;
   caller_limits limits;
+  /// Without workspaces no request needs an API key.
+  std::vector<mesh_workspace> workspaces;
   friend bool operator==(const mesh_configuration&, const mesh_configuration&) = default;
 };
 
--- a/Source/mesh/mesh_configuration_fields.h
+++ b/Source/mesh/mesh_configuration_fields.h
@@ -23,7 +23,18 @@
       required_field("idempotent", &record::idempotent),
       required_field("timeout_ms", &record::timeout_ms),
       required_field("objective_ms", &record::latency_objective_ms),
-      required_field("attempts", &record::attempts), required_field("rank", &record::rank));
+      required_field("attempts", &record::attempts), required_field("rank", &record::rank),
+      optional_field("large_responses", &record::large_responses),
+      optional_field("open_to_all", &record::open_to_all));
+};
+
+template <>
+struct record_fields<mesh_workspace> {
+  using record = mesh_workspace;
+  static constexpr auto table = std::make_tuple(
+      required_field("name", &record::name), required_field("api_keys", &record::api_keys),
+      required_field("rank", &record::rank), required_field("rate_per_s", &record::rate_per_s),
+      required_field("burst", &record::burst));
 };
 
 template <>
@@ -48,7 +59,8 @@
   using record = mesh_configuration;
   static constexpr auto table = std::make_tuple(
       required_field("version", &record::version), required_field("routes", &record::routes),
-      required_field("services", &record::services), required_field("limits", &record::limits));
+      required_field("services", &record::services), required_field("limits", &record::limits),
+      optional_field("workspaces", &record::workspaces));
 };
 
 template <>
@@ -64,7 +76,8 @@
       required_field("base", &record::base_version), required_field("version", &record::version),
       required_field("changed", &record::changed), required_field("removed", &record::removed),
       required_field("services", &record::services), required_field("limits", &record::limits),
-      required_field("fingerprint", &record::fingerprint));
+      required_field("fingerprint", &record::fingerprint),
+      optional_field("workspaces", &record::workspaces));
 };
 
 }  // namespace crocusdoor
--- a/Source/mesh/target_registry.h
+++ b/Source/mesh/target_registry.h
@@ -20,6 +20,7 @@
   std::int32_t slots = 1;  ///< Requests that it runs at the same time.
   bool draining = false;
   std::chrono::milliseconds warmup_left_ms{0};
+  std::string version;  ///< Of the target's software; empty if it is not stated.
   friend bool operator==(const target_announcement&, const target_announcement&) = default;
 };
 
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -123,6 +123,9 @@
   if (!result.problem.empty()) {
     shared_.log.error("configuration_unreadable", {{"peer", "store"}, {"reason", result.problem}});
   }
+  for (const std::string& unknown : result.unknown_values) {
+    shared_.log.warning("configuration_value_unknown", {{"peer", "store"}, {"reason", unknown}});
+  }
 }
 
 void configuration_follower::call_failed(store_outcome outcome) {
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -69,14 +69,26 @@
     refuse("stopping", default_retry_after);
     return;
   }
-  prepare_call();
-  services_.retries[service_].request_started(arrived_at_, shared_.retries.window);
   const duration timeout = deadline_ - arrived_at_ + response_grace_time;
   deadline_timer_ = shared_.loop.after(timeout, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->deadline_passed();
     }
   });
+  check_key();
+}
+
+void outbound_request::check_key() {
+  check_quota();
+}
+
+void outbound_request::check_quota() {
+  begin();
+}
+
+void outbound_request::begin() {
+  prepare_call();
+  services_.retries[service_].request_started(arrived_at_, shared_.retries.window);
   send_attempt();
 }
 
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -27,6 +27,12 @@
   };
 
   [[nodiscard]] bool find_route();
+  /// Identifies the workspace of the caller by its API key, then continues with `check_quota`.
+  void check_key();
+  /// Counts the request against the quota of its workspace, then continues with `begin`.
+  void check_quota();
+  /// Sends the first attempt.
+  void begin();
   void prepare_call();
   void set_deadline();
   void send_attempt();
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -25,6 +25,7 @@
   std::string declined;         ///< States that the target has not run the request.
   std::string caller_service;   ///< Service whose sidecar received the request from its caller.
   std::string target_id;        ///< Id of the target that sends the response.
+  std::string workspace;        ///< Workspace of the caller, as the mesh has identified it.
 };
 
 /// A target withdraws its registration.
@@ -65,6 +66,8 @@
   /// Empty if the configuration has not changed or cannot be read.
   std::optional<mesh_configuration> configuration;
   std::string problem;  ///< Why a response or a configuration could not be read.
+  /// Values of the configuration that this version does not know and has replaced.
+  std::vector<std::string> unknown_values;
 };
 
 /// Entry in the store by which other daemons find a daemon.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -182,6 +182,7 @@
   if (const auto& target = gateway_->registry().target()) {
     self.service = target->announcement.service;
     self.slots = target->announcement.slots;
+    self.target_version = target->announcement.version;
     const duration warmup = target->warm_at - loop_.now();
     self.warmup_left_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(std::max(warmup, duration::zero()));
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -89,6 +89,13 @@
   friend bool operator==(const configuration_snapshot&, const configuration_snapshot&) = default;
 };
 
+/// Workspace of the caller of a request.
+struct call_workspace {
+  workspace_name name;
+  std::int32_t rank = 0;  ///< Counts before the rank of the route; 0 is the most urgent.
+  friend bool operator==(const call_workspace&, const call_workspace&) = default;
+};
+
 /// A request that is forwarded to the daemon of the chosen target.
 struct call {
   request_id id = 0;
@@ -110,6 +117,9 @@
   /// Time left until the latency objective, after which the response is worth less to the caller;
   /// negative if the objective has passed.
   std::chrono::milliseconds objective_left_ms{0};
+  std::optional<call_workspace> workspace;  ///< Of the caller, if it has one.
+  /// Version of the target's software that the request was sent to; empty if any may run it.
+  std::optional<std::string> target_version;
   /// Transit time of the call as measured by the receiver. Not sent. `deadline_left_ms` and
   /// `objective_left_ms` count from the time at which the call was sent.
   duration transit{0};
@@ -229,12 +239,101 @@
   friend bool operator==(const suspicions&, const suspicions&) = default;
 };
 
-using message = std::variant<hello, heartbeat, heartbeat_answer, records, records_request,
-                             configuration_request, configuration_delta, configuration_snapshot,
-                             call, call_answer, call_cancel, call_status, call_status_answer,
-                             claim_request, claim_answer, claim_complete, claim_complete_answer,
-                             suspicions, whole_configuration_request, whole_configuration,
-                             configuration_change, target_departed>;
+/// Asks a peer how old its proof is that its configuration is the newest one.
+struct freshness_request {
+  std::uint64_t sequence = 0;
+  friend bool operator==(const freshness_request&, const freshness_request&) = default;
+};
+
+/// Response to a `freshness_request`. The version that it is about is that of the envelope.
+struct freshness_answer {
+  std::uint64_t sequence = 0;
+  /// Time since the version was the newest one in the store; empty if there is no proof.
+  std::optional<std::chrono::milliseconds> proof_age_ms;
+  friend bool operator==(const freshness_answer&, const freshness_answer&) = default;
+};
+
+/// Use of and demand for the quota of a workspace at one daemon.
+struct quota_demand {
+  workspace_name workspace;
+  double used = 0;    ///< Requests of the daemon's own share that it has spent.
+  double wanted = 0;  ///< Requests that it expects until its next report.
+  friend bool operator==(const quota_demand&, const quota_demand&) = default;
+};
+
+/// Hands the unused part of a daemon's share of the quotas to another daemon, which lends it to the
+/// daemons that need it.
+struct quota_report {
+  std::uint64_t sequence = 0;
+  std::chrono::milliseconds accrued_ms{0};  ///< Time for which the share is handed over.
+  std::vector<quota_demand> demands;        ///< Workspaces without use or demand are left out.
+  friend bool operator==(const quota_report&, const quota_report&) = default;
+};
+
+/// Requests of a workspace that a daemon may admit in addition to its own share.
+struct quota_tokens {
+  workspace_name workspace;
+  double tokens = 0;
+  friend bool operator==(const quota_tokens&, const quota_tokens&) = default;
+};
+
+/// Response to a `quota_report`.
+struct quota_grant {
+  std::uint64_t sequence = 0;
+  std::chrono::milliseconds valid_ms{0};  ///< From the time at which the report was sent.
+  std::vector<quota_tokens> granted;
+  friend bool operator==(const quota_grant&, const quota_grant&) = default;
+};
+
+/// State of the rollout of one service.
+enum class rollout_phase {
+  running,
+  completed,    ///< All requests go to the new version.
+  rolled_back,  ///< No requests go to the new version.
+};
+
+/// Says which part of the requests to a service may go to the version that is rolled out.
+struct rollout_state {
+  service_name service;
+  std::string target_version;
+  std::uint64_t order = 0;  ///< Revision of the order in the store.
+  rollout_phase phase = rollout_phase::running;
+  std::int32_t permille = 0;  ///< Of the requests to the service.
+  /// Time after which the new version gets no more requests unless a later message allows it.
+  std::chrono::milliseconds valid_ms{0};
+  std::chrono::milliseconds left_ms{0};  ///< Until the operator's deadline.
+  friend bool operator==(const rollout_state&, const rollout_state&) = default;
+};
+
+/// Outcomes at one daemon of the requests of a work class, at the old or the new version, since the
+/// rollout began.
+struct version_outcomes {
+  std::string work_class;
+  bool new_version = false;
+  std::uint64_t requests = 0;
+  std::uint64_t failures = 0;
+  std::uint64_t total_time_us = 0;  ///< Of the requests that did not fail.
+  friend bool operator==(const version_outcomes&, const version_outcomes&) = default;
+};
+
+/// Reports the outcomes at one daemon to the daemon that decides on a rollout.
+struct rollout_evidence {
+  service_name service;
+  std::string target_version;
+  std::uint64_t order = 0;
+  std::uint64_t sent = 0;  ///< Requests sent to the new version, finished or not.
+  std::vector<version_outcomes> outcomes;
+  friend bool operator==(const rollout_evidence&, const rollout_evidence&) = default;
+};
+
+using message =
+    std::variant<hello, heartbeat, heartbeat_answer, records, records_request,
+                 configuration_request, configuration_delta, configuration_snapshot, call,
+                 call_answer, call_cancel, call_status, call_status_answer, claim_request,
+                 claim_answer, claim_complete, claim_complete_answer, suspicions,
+                 whole_configuration_request, whole_configuration, configuration_change,
+                 target_departed, freshness_request, freshness_answer, quota_report, quota_grant,
+                 rollout_state, rollout_evidence>;
 
 /// A message with the fields that all messages have.
 struct envelope {
--- a/Source/wire/message_body.cpp
+++ b/Source/wire/message_body.cpp
@@ -32,6 +32,12 @@
     "whole_configuration",
     "configuration_change",
     "target_departed",
+    "freshness_request",
+    "freshness_answer",
+    "quota_report",
+    "quota_grant",
+    "rollout_state",
+    "rollout_evidence",
 };
 
 using body_decoder = message (*)(const json&, record_decoder&);
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -67,6 +67,13 @@
       required_field("content_digest", &wire::configuration_snapshot::content_digest));
 };
 
+template <>
+struct record_fields<wire::call_workspace> {
+  static constexpr auto table =
+      std::make_tuple(required_field("name", &wire::call_workspace::name),
+                      required_field("rank", &wire::call_workspace::rank));
+};
+
 template <>
 struct record_fields<wire::call> {
   static constexpr auto table = std::make_tuple(
@@ -84,7 +91,9 @@
       required_field("retries_left", &wire::call::retries_left, {0, 100}),
       optional_field("rank", &wire::call::rank),
       optional_field("work_class", &wire::call::work_class),
-      optional_field("objective_left_ms", &wire::call::objective_left_ms));
+      optional_field("objective_left_ms", &wire::call::objective_left_ms),
+      optional_field("workspace", &wire::call::workspace),
+      optional_field("target_version", &wire::call::target_version));
 };
 
 template <>
@@ -190,4 +199,89 @@
                       optional_field("counts", &wire::suspicions::counts));
 };
 
+template <>
+struct record_fields<wire::freshness_request> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::freshness_request::sequence));
+};
+
+template <>
+struct record_fields<wire::freshness_answer> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::freshness_answer::sequence),
+                      optional_field("proof_age_ms", &wire::freshness_answer::proof_age_ms));
+};
+
+template <>
+struct record_fields<wire::quota_demand> {
+  static constexpr auto table =
+      std::make_tuple(required_field("workspace", &wire::quota_demand::workspace),
+                      required_field("used", &wire::quota_demand::used),
+                      required_field("wanted", &wire::quota_demand::wanted));
+};
+
+template <>
+struct record_fields<wire::quota_report> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::quota_report::sequence),
+                      required_field("accrued_ms", &wire::quota_report::accrued_ms, {0, 60'000}),
+                      required_field("demands", &wire::quota_report::demands));
+};
+
+template <>
+struct record_fields<wire::quota_tokens> {
+  static constexpr auto table =
+      std::make_tuple(required_field("workspace", &wire::quota_tokens::workspace),
+                      required_field("tokens", &wire::quota_tokens::tokens));
+};
+
+template <>
+struct record_fields<wire::quota_grant> {
+  static constexpr auto table =
+      std::make_tuple(required_field("sequence", &wire::quota_grant::sequence),
+                      required_field("valid_ms", &wire::quota_grant::valid_ms, {0, 60'000}),
+                      required_field("granted", &wire::quota_grant::granted));
+};
+
+template <>
+struct enum_names<wire::rollout_phase> {
+  static constexpr auto names = make_enum_names<wire::rollout_phase>({
+      {wire::rollout_phase::running, "running"},
+      {wire::rollout_phase::completed, "completed"},
+      {wire::rollout_phase::rolled_back, "rolled_back"},
+  });
+};
+
+template <>
+struct record_fields<wire::rollout_state> {
+  using record = wire::rollout_state;
+  static constexpr auto table = std::make_tuple(
+      required_field("service", &record::service),
+      required_field("target_version", &record::target_version),
+      required_field("order", &record::order), required_field("phase", &record::phase),
+      required_field("permille", &record::permille, {0, 1'000}),
+      required_field("valid_ms", &record::valid_ms, {0, 3'600'000}),
+      required_field("left_ms", &record::left_ms));
+};
+
+template <>
+struct record_fields<wire::version_outcomes> {
+  using record = wire::version_outcomes;
+  static constexpr auto table = std::make_tuple(
+      required_field("work_class", &record::work_class),
+      required_field("new_version", &record::new_version),
+      required_field("requests", &record::requests), required_field("failures", &record::failures),
+      required_field("total_time_us", &record::total_time_us));
+};
+
+template <>
+struct record_fields<wire::rollout_evidence> {
+  using record = wire::rollout_evidence;
+  static constexpr auto table = std::make_tuple(
+      required_field("service", &record::service),
+      required_field("target_version", &record::target_version),
+      required_field("order", &record::order), required_field("sent", &record::sent),
+      required_field("outcomes", &record::outcomes));
+};
+
 }  // namespace crocusdoor
--- a/Tests/mesh/configuration_change_test.cpp
+++ b/Tests/mesh/configuration_change_test.cpp
@@ -70,4 +70,28 @@
   }
 }
 
+TEST_CASE("workspaces are part of a configuration change only if they differ", "[mesh][P3]") {
+  mesh_configuration before = make_configuration(3, {route_to("/a/", "s")});
+  before.workspaces = {{workspace_name("w"), {"key"}, 1, 10, 20}};
+  mesh_configuration after = before;
+  after.version = 4;
+
+  SECTION("unchanged workspaces are taken from the base version") {
+    const configuration_change change = change_between(before, after);
+    CHECK_FALSE(change.workspaces.has_value());
+    const auto result = applied(before, change);
+    REQUIRE(result.has_value());
+    CHECK(result->workspaces == before.workspaces);
+  }
+  SECTION("a removed key changes the workspaces and the fingerprint") {
+    after.workspaces[0].api_keys.clear();
+    const configuration_change change = change_between(before, after);
+    CHECK(change.workspaces == after.workspaces);
+    CHECK(fingerprint_of(before) != fingerprint_of(after));
+    const auto result = applied(before, change);
+    REQUIRE(result.has_value());
+    CHECK(result->workspaces == after.workspaces);
+  }
+}
+
 }  // namespace crocusdoor
