Identify the workspace of a request by its API key

Configurations list the API keys of workspaces, but requests ran without one, the Authorization header reached targets, and a caller could name a workspace itself.

Each version of the configuration has an index of its keys, with a hash seeded by a secret of the process and a comparison in constant time. mesh/key_check decides; a request without a known key gets 401 unless its route is open to all. The key is removed before the call is made up, so that neither targets, peers, log lines nor the digests of crashing requests have it; log lines have 32 bits of a hash.

--- a/Source/mesh/route_table.cpp
+++ b/Source/mesh/route_table.cpp
@@ -21,7 +21,8 @@
 
 }  // namespace
 
-route_table::route_table(mesh_configuration content) : content_(std::move(content)) {
+route_table::route_table(mesh_configuration content, std::uint64_t key_seed)
+    : content_(std::move(content)), keys_(content_, key_seed) {
   for (const mesh_route& route : content_.routes) {
     by_host_[lower_case(without_port(route.host))][route.path_prefix] = &route;
   }
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -174,7 +174,7 @@
     return;
   }
   const std::uint64_t previous_version = version();
-  current_ = std::make_shared<const route_table>(std::move(configuration));
+  current_ = std::make_shared<const route_table>(std::move(configuration), shared_.key_seed);
   const duration lag = catch_up_.set_current_version(version(), shared_.timers.now());
   schedule_catch_up();
   shared_.counters.observe_configuration_lag(lag);
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -22,6 +22,8 @@
   random_source& random;
   decision_log& log;
   metrics& counters;
+  /// Secret seed of the hash by which API keys are looked up.
+  std::uint64_t key_seed = 0;
 };
 
 /// Keeps the newest configuration that this daemon has received. Within one process the version
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -7,11 +7,13 @@
 #include <utility>
 
 #include "daemon/request_identity.h"
+#include "mesh/workspace_keys.h"
 
 namespace crocusdoor {
 
 namespace {
 
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
@@ -29,6 +31,10 @@
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
 constexpr duration minimum_retry_after = std::chrono::milliseconds(50);
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds(500);
+/// Usual time until a proof of the configuration is renewed.
+constexpr duration unproven_retry_after = std::chrono::milliseconds(500);
+
+const std::string authorization_header = "Authorization";
 
 std::optional<std::int64_t> parse_integer(const std::string& text) {
   std::int64_t value = 0;
@@ -78,10 +84,42 @@
   check_key();
 }
 
+const std::string& outbound_request::authorization() const {
+  return header_value(exchange_->request().headers, authorization_header);
+}
+
 void outbound_request::check_key() {
+  const key_check result =
+      crocusdoor::check_key(*configuration_, route_, authorization(), services_.proof());
+  if (result.decision != key_decision::admitted) {
+    refuse_key(result.decision);
+    return;
+  }
+  if (result.workspace != nullptr) {
+    workspace_ = wire::call_workspace{result.workspace->name, result.workspace->rank};
+  }
   check_quota();
 }
 
+void outbound_request::refuse_key(key_decision decision) {
+  const std::optional<std::string_view> key = bearer_key(authorization());
+  const bool denied = decision == key_decision::denied;
+  const std::string reason =
+      denied ? (key.has_value() ? "key_unknown" : "key_missing") : "configuration_unproven";
+  shared_.log.request(log_level::info, "key_refused",
+                      {{"request", attempt_id_},
+                       {"reason", reason},
+                       {"known", decision == key_decision::unproven},
+                       {"key", key.has_value() ? key_digest(*key) : std::string()}});
+  if (!denied) {
+    refuse(reason, unproven_retry_after);
+    return;
+  }
+  shared_.counters.count_refusal(reason);
+  finish({status_unauthorized, {{"WWW-Authenticate", "Bearer"}}, reason + "\n"}, verdict::not_run,
+         reason);
+}
+
 void outbound_request::check_quota() {
   begin();
 }
@@ -93,15 +131,15 @@
 }
 
 bool outbound_request::find_route() {
-  const route_table_pointer configuration = services_.configuration();
-  if (configuration == nullptr) {
+  configuration_ = services_.configuration();
+  if (configuration_ == nullptr) {
     refuse("not_configured", unconfigured_retry_after);
     return false;
   }
-  version_ = configuration->version();
+  version_ = configuration_->version();
   const http_request& received = exchange_->request();
   const mesh_route* matched =
-      configuration->find(header_value(received.headers, "Host"), received.target);
+      configuration_->find(header_value(received.headers, "Host"), received.target);
   if (matched == nullptr) {
     fail(status_not_found, "no_route");
     return false;
@@ -127,12 +165,22 @@
   call_.method = received.method;
   call_.path = received.target;
   http_headers headers = end_to_end_headers(received.headers);
+  // Only the mesh may name the workspace, and no target may use the key of a caller.
+  headers.erase(shared_.contract.headers.workspace);
+  if (!configuration_->content().workspaces.empty()) {
+    headers.erase(authorization_header);
+  }
+  if (workspace_.has_value()) {
+    headers[shared_.contract.headers.workspace] = workspace_->name.str();
+  }
   headers[shared_.contract.headers.caller_service] = shared_.options.target.service.str();
   call_.headers = {headers.begin(), headers.end()};
   call_.body.bytes = received.body;
   call_.idempotent = route_.idempotent;
   call_.rank = route_.rank;
   call_.work_class = route_.name.str();
+  call_.workspace = workspace_;
+  configuration_ = nullptr;  // Running requests must not keep versions that have been replaced.
 }
 
 void outbound_request::send_attempt() {
@@ -369,6 +417,7 @@
       {"request", attempt_id_},
       {"route", route_.name.str()},
       {"service", service_.str()},
+      {"workspace", workspace_.has_value() ? workspace_->name.str() : std::string()},
       {"version", version_},
       {"rank", route_.rank},
       {"objective_ms", route_.latency_objective_ms.count()},
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -29,6 +29,9 @@
   [[nodiscard]] bool find_route();
   /// Identifies the workspace of the caller by its API key, then continues with `check_quota`.
   void check_key();
+  /// Ends a request whose key does not allow it to run, or may not do so any more.
+  void refuse_key(key_decision decision);
+  [[nodiscard]] const std::string& authorization() const;
   /// Counts the request against the quota of its workspace, then continues with `begin`.
   void check_quota();
   /// Sends the first attempt.
@@ -64,9 +67,11 @@
   std::string attempt_id_;
   time_point arrived_at_;
   time_point deadline_;
-  std::uint64_t version_ = 0;  ///< Of the configuration that determined the route.
+  std::uint64_t version_ = 0;          ///< Of the configuration that determined the route.
+  route_table_pointer configuration_;  ///< This configuration, until the request is sent.
   mesh_route route_;
   service_name service_;
+  std::optional<wire::call_workspace> workspace_;
   wire::call call_;
   request_identity identity_;         ///< Of `call_`.
   std::vector<crash_count> crashes_;  ///< Counts of the request before the latest attempt.
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "daemon/call_router.h"
+#include "mesh/key_check.h"
 #include "mesh/retry_window.h"
 #include "mesh/route_table.h"
 #include "mesh/upstream_pool.h"
@@ -27,6 +28,8 @@
   std::function<std::size_t()> daemon_count;
   /// Sends the crash count of a request to an instance, ahead of the request itself.
   std::function<void(const instance_name&, const std::vector<crash_count>&)> send_crash_counts;
+  /// What is proved about the current configuration now.
+  std::function<configuration_proof()> proof;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "sidecar/outbound_request.h"
@@ -40,6 +41,13 @@
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
 
+/// A random number that, other than `random_source`, cannot be derived from what a process sends.
+std::uint64_t secret_seed() {
+  std::random_device device;
+  constexpr int half_bits = 32;
+  return (std::uint64_t{device()} << half_bits) | device();
+}
+
 }  // namespace
 
 sidecar_daemon::sidecar_daemon(event_loop& loop, sidecar_settings options,
@@ -66,7 +74,7 @@
   finder_ = std::make_unique<peer_finder>(
       shared_, *store_, *mesh_, [this](const daemon_listing& listing) { entries_listed(listing); });
   configurations_ = std::make_unique<configuration_exchange>(
-      configuration_context{loop_, random_, log_, counters_}, *store_,
+      configuration_context{loop_, random_, log_, counters_, secret_seed()}, *store_,
       watcher_group(options_.instance.name, options_.instance.domain),
       configuration_exchange::handlers{
           [this](const route_table_pointer& table) { configuration_adopted(table); },
@@ -119,7 +127,8 @@
         if (to != shared_.self.name) {
           mesh_->send(to, wire::suspicions{{}, counts});
         }
-      }});
+      },
+      [] { return configuration_proof{}; }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -204,6 +204,11 @@
       std::make_unique<test_store>(loop_, contents_, instance_name(name)));
 }
 
+void test_instance::restart_daemon_with(const std::function<void(sidecar_settings&)>& change) {
+  change(options_);
+  restart_daemon();
+}
+
 void test_instance::announce(const std::string& state) {
   announce_with_sequence(state, ++sequence_);
 }
@@ -257,7 +262,7 @@
                 {"routeType", kind}, {"timeoutMs", timeout.count()}, {"targetLatencyMs", 500},
                 {"priority", 1},     {"service", service},           {"attempts", 2}};
   };
-  const json document = {
+  json document = {
       {"version", version},
       {"routes", {route("safe", "/safe/", "safe"), route("once", "/once/", "unsafe")}},
       {"services", {{{"name", service}, {"healthPath", "/health"}, {"maxConnections", 50}}}},
@@ -266,6 +271,11 @@
         {"maxBodyBytes", 1'000'000},
         {"headerTimeoutMs", 3'000},
         {"idleTimeoutMs", 15'000}}}};
+  if (!workspaces.empty()) {
+    document["tenants"] = workspaces;
+    document["routes"].push_back(route("open", "/open/", "safe"));
+    document["routes"].back()["public"] = true;
+  }
   store.document = document.dump();
   ++store.revision;
 }
@@ -286,18 +296,17 @@
 }
 
 http_result mesh_fixture::call(test_instance& origin, const std::string& method,
-                               const std::string& path, const std::string& body) {
+                               const std::string& path, const std::string& body,
+                               const http_headers& headers) {
   http_result received;
-  origin.caller->send({method,
-                       path,
-                       {{"Host", "h.example"},
-                        {"X-Attempt-Id", "id-" + std::to_string(++calls_)},
-                        {"X-Deadline-Ms", "2000"}},
-                       body},
-                      test_limit, [&](const http_result& result) {
-                        received = result;
-                        loop.stop();
-                      });
+  http_request request{method, path, headers, body};
+  request.headers["Host"] = "h.example";
+  request.headers["X-Attempt-Id"] = "id-" + std::to_string(++calls_);
+  request.headers["X-Deadline-Ms"] = "2000";
+  origin.caller->send(std::move(request), test_limit, [&](const http_result& result) {
+    received = result;
+    loop.stop();
+  });
   loop.run();
   return received;
 }
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -84,6 +84,8 @@
   void replace_target(const std::string& new_id);
   /// Replaces the daemon by a newly constructed one, as after a crash.
   void restart_daemon();
+  /// Replaces the daemon by one with other settings.
+  void restart_daemon_with(const std::function<void(sidecar_settings&)>& change);
   /// Ends the target with all its connections and refuses new ones.
   void crash_target();
   /// Ends the target with all its connections. Its address accepts new ones, which get no response.
@@ -130,7 +132,7 @@
   /// Ends all daemons at once, starts them again and waits until they are ready.
   void restart_all_daemons();
   http_result call(test_instance& origin, const std::string& method, const std::string& path,
-                   const std::string& body = "");
+                   const std::string& body = "", const http_headers& headers = {});
   bool run_until(const std::function<bool()>& condition);
   /// Runs the loop until the condition holds, but no longer than `limit`. Returns whether it holds.
   bool run_for(duration limit, const std::function<bool()>& condition);
@@ -138,6 +140,8 @@
   event_loop loop;
   store_contents store;
   std::vector<std::unique_ptr<test_instance>> instances;
+  /// Workspaces of the next configuration. With workspaces it also has a route "/open/".
+  json workspaces = json::array();
 
  private:
   [[nodiscard]] std::set<std::string> services() const;
