Add the accounts of quotas

Workspaces have a rate and a burst over all daemons together, and nothing applied them. Each daemon hands its share of the rate and of the capacity to a coordinator, for the time to come, and the coordinator lends tokens.

quota_report and quota_grant carry the part of the workspaces, quota_demand the tokens that are held; `used` is a total, so that a lost report is harmless.

--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -256,32 +256,37 @@
 /// Use of and demand for the quota of a workspace at one daemon.
 struct quota_demand {
   workspace_name workspace;
-  double used = 0;    ///< Requests of the daemon's own share that it has spent.
+  double used = 0;    ///< Tokens that the daemon's process has spent in total.
   double wanted = 0;  ///< Requests that it expects until its next report.
+  double held = 0;    ///< Tokens that it has not spent.
   friend bool operator==(const quota_demand&, const quota_demand&) = default;
 };
 
-/// Hands the unused part of a daemon's share of the quotas to another daemon, which lends it to the
+/// Hands a daemon's share of the quotas to another daemon, the coordinator, which lends it to the
 /// daemons that need it.
 struct quota_report {
-  std::uint64_t sequence = 0;
-  std::chrono::milliseconds accrued_ms{0};  ///< Time for which the share is handed over.
-  std::vector<quota_demand> demands;        ///< Workspaces without use or demand are left out.
+  std::uint64_t sequence = 0;  ///< Increases with each report, also from process to process.
+  /// Time, from the sending of the report, for which the share is handed over; 0 withdraws it.
+  std::chrono::milliseconds accrued_ms{0};
+  std::vector<quota_demand> demands;  ///< Workspaces without use or demand are left out.
+  std::int32_t part = 0;              ///< Part of the workspaces that the report is about.
   friend bool operator==(const quota_report&, const quota_report&) = default;
 };
 
-/// Requests of a workspace that a daemon may admit in addition to its own share.
+/// Requests of a workspace that a daemon may admit.
 struct quota_tokens {
   workspace_name workspace;
-  double tokens = 0;
+  double tokens = 0;  ///< Includes what the daemon held according to its report.
   friend bool operator==(const quota_tokens&, const quota_tokens&) = default;
 };
 
 /// Response to a `quota_report`.
 struct quota_grant {
   std::uint64_t sequence = 0;
-  std::chrono::milliseconds valid_ms{0};  ///< From the time at which the report was sent.
+  /// From the time at which the report was sent; 0 if the share is not used any more.
+  std::chrono::milliseconds valid_ms{0};
   std::vector<quota_tokens> granted;
+  std::int32_t part = 0;
   friend bool operator==(const quota_grant&, const quota_grant&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -217,7 +217,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("workspace", &wire::quota_demand::workspace),
                       required_field("used", &wire::quota_demand::used),
-                      required_field("wanted", &wire::quota_demand::wanted));
+                      required_field("wanted", &wire::quota_demand::wanted),
+                      required_field("held", &wire::quota_demand::held));
 };
 
 template <>
@@ -225,7 +226,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("sequence", &wire::quota_report::sequence),
                       required_field("accrued_ms", &wire::quota_report::accrued_ms, {0, 60'000}),
-                      required_field("demands", &wire::quota_report::demands));
+                      required_field("demands", &wire::quota_report::demands),
+                      optional_field("part", &wire::quota_report::part, {0, 1'000}));
 };
 
 template <>
@@ -240,7 +242,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("sequence", &wire::quota_grant::sequence),
                       required_field("valid_ms", &wire::quota_grant::valid_ms, {0, 60'000}),
-                      required_field("granted", &wire::quota_grant::granted));
+                      required_field("granted", &wire::quota_grant::granted),
+                      optional_field("part", &wire::quota_grant::part, {0, 1'000}));
 };
 
 template <>
