Share the slots of a target among workspaces

Requests waited by rank and latency objective only, so a workspace with hundreds of requests a second took all slots from one with few. The position in the queue is now (rank of the workspace, rank of the route, turn of the workspace, objective, arrival). A request far ahead of its workspace's turn expects a long wait and is refused on arrival first. Without workspaces all turns are 0 and the order is unchanged.

The reported waits are those of the most urgent workspaces that wait.

--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace crocusdoor {
 
@@ -61,7 +62,11 @@
 slot_changes slot_queue::offer(const slot_request& request, time_point now) {
   slot_changes changes;
   service_time_estimate* work_class = history_.estimate_of(request.work_class);
-  const queue_position position{request.rank, request.objective, ++arrivals_};
+  has_workspaces_ = has_workspaces_ || !request.workspace.str().empty();
+  const fair_shares::ranks ranks = ranks_of(request);
+  const std::int64_t turn = has_workspaces_ ? shares_.turn(ranks, request.workspace) : 0;
+  const queue_position position{request.workspace_rank, request.rank, turn, request.objective,
+                                ++arrivals_};
   const time_point response_at = now + expected_wait(position) + median_service_time(*work_class);
   if (response_at > request.deadline) {
     refuse(request, slot_refusal::deadline_unreachable, response_at - request.deadline, changes);
@@ -75,6 +80,9 @@
     return changes;
   }
   waiting_.emplace(position, waiting_request{request, work_class});
+  if (has_workspaces_) {
+    shares_.add(ranks, request.workspace);
+  }
   start_waiting(now, changes);
   refuse_late(now, changes);
   return changes;
@@ -89,6 +97,7 @@
   while (!waiting_.empty() && has_free_slot()) {
     const auto first = waiting_.begin();
     start(first->second, now, changes);
+    shares_.started(ranks_of(first->second.request), first->first.turn);
     waiting_.erase(first);
   }
 }
@@ -101,7 +110,7 @@
     if (response_at > waiting.request.deadline) {
       refuse(waiting.request, slot_refusal::deadline_unreachable,
              response_at - waiting.request.deadline, changes);
-      entry = waiting_.erase(entry);
+      entry = remove(entry);
     } else {
       ++entry;
     }
@@ -125,10 +134,22 @@
   return finished(ticket, now);
 }
 
+std::map<slot_queue::queue_position, slot_queue::waiting_request>::iterator slot_queue::remove(
+    std::map<queue_position, waiting_request>::iterator entry) {
+  const slot_request& request = entry->second.request;
+  shares_.removed(ranks_of(request), request.workspace);
+  return waiting_.erase(entry);
+}
+
 bool slot_queue::withdraw(std::uint64_t ticket) {
-  return std::erase_if(waiting_, [&](const auto& entry) {
-           return entry.second.request.ticket == ticket;
-         }) > 0;
+  const auto found = std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& entry) {
+    return entry.second.request.ticket == ticket;
+  });
+  if (found == waiting_.end()) {
+    return false;
+  }
+  remove(found);
+  return true;
 }
 
 slot_changes slot_queue::expire(time_point now) {
@@ -143,6 +164,7 @@
     refuse(waiting.request, slot_refusal::target_leaving, duration::zero(), changes);
   }
   waiting_.clear();
+  shares_.clear();
   return changes;
 }
 
@@ -160,8 +182,13 @@
   report.queued = static_cast<std::int32_t>(waiting_.size());
   report.service_time_us = history_.mean().count();
   if (!has_free_slot()) {
+    // For the most urgent workspaces that wait; the sender does not know the turns of others.
+    const std::int32_t workspace_rank =
+        waiting_.empty() ? 0 : waiting_.begin()->first.workspace_rank;
     for (std::int32_t rank = 0; rank < reported_ranks; ++rank) {
-      const duration wait = expected_wait({rank, time_point::max(), arrivals_});
+      const duration wait =
+          expected_wait({workspace_rank, rank, std::numeric_limits<std::int64_t>::max(),
+                         time_point::max(), arrivals_});
       report.wait_ms.push_back(static_cast<std::int32_t>(to_ms(wait)));
     }
   }
--- a/Source/mesh/slot_queue.h
+++ b/Source/mesh/slot_queue.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/fair_shares.h"
 #include "admission/service_time_history.h"
 #include "core/enum_names.h"
 #include "core/time.h"
@@ -15,10 +16,12 @@
 /// A request that asks for a slot of the target.
 struct slot_request {
   std::uint64_t ticket = 0;
-  std::int32_t rank = 0;   ///< Of its route; 0 is the most urgent.
-  std::string work_class;  ///< Requests that take similar time, for example a route name.
-  time_point deadline;     ///< A later response is useless to the caller.
-  time_point objective;    ///< A later response is worth less to the caller.
+  std::int32_t rank = 0;            ///< Of its route; 0 is the most urgent.
+  std::string work_class;           ///< Requests that take similar time, for example a route name.
+  time_point deadline;              ///< A later response is useless to the caller.
+  time_point objective;             ///< A later response is worth less to the caller.
+  workspace_name workspace{};       ///< Of the caller; empty if it has none.
+  std::int32_t workspace_rank = 0;  ///< Counts before `rank`; 0 is the most urgent.
 };
 
 enum class slot_refusal {
@@ -53,12 +56,12 @@
 /// Decides at the daemon beside a target which requests run, wait or are refused.
 ///
 /// Designed for overload: more requests than slots, for seconds. Requests wait in the order of
-/// their rank and, within a rank, of their latency objective: calls that a running request makes
-/// have the short objectives, and a late response to one wastes the work already done for its
-/// caller. A request that could not be answered within its objective is refused on arrival, so
-/// that its caller can try another upstream while there is time, and so that it does not delay the
-/// requests that can be answered. A short request delays the others little and may wait until
-/// its deadline.
+/// their rank and, within a rank, of their turn (see `fair_shares`) if there are workspaces, and
+/// then of their latency objective: calls that a running request makes have the short objectives,
+/// and a late response to one wastes the work already done for its caller. A request that could not
+/// be answered within its objective is refused on arrival, so that its caller can try another
+/// upstream while there is time, and so that it does not delay the requests that can be answered. A
+/// short request delays the others little and may wait until its deadline.
 class slot_queue {
  public:
   /// Starts, queues or refuses a request. Less urgent waiting requests that can no longer be
@@ -83,7 +86,9 @@
  private:
   /// Position in the queue; the lowest one starts first.
   struct queue_position {
+    std::int32_t workspace_rank = 0;
     std::int32_t rank = 0;
+    std::int64_t turn = 0;  ///< Of the workspace; 0 while there are no workspaces.
     time_point objective;
     std::uint64_t arrival = 0;
     friend auto operator<=>(const queue_position&, const queue_position&) = default;
@@ -97,6 +102,12 @@
     time_point started_at;
   };
 
+  [[nodiscard]] static fair_shares::ranks ranks_of(const slot_request& request) {
+    return {request.workspace_rank, request.rank};
+  }
+  /// Removes a waiting request that is not started.
+  std::map<queue_position, waiting_request>::iterator remove(
+      std::map<queue_position, waiting_request>::iterator entry);
   [[nodiscard]] duration median_service_time(const service_time_estimate& work_class) const;
   [[nodiscard]] duration expected_wait(const queue_position& position) const;
   [[nodiscard]] bool has_free_slot() const;
@@ -111,6 +122,8 @@
   std::int32_t slots_ = 1;
   std::uint64_t arrivals_ = 0;
   std::map<queue_position, waiting_request> waiting_;
+  fair_shares shares_;
+  bool has_workspaces_ = false;  ///< Whether a request with a workspace has arrived.
   std::map<std::uint64_t, running_request> running_;
   service_time_history history_;
 };
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -62,9 +62,13 @@
                          {"left_ms", to_ms(request->deadline - now)}});
   }
   requests_[request->ticket] = request;
-  apply(queue_.offer({request->ticket, call.rank, call.work_class, request->deadline,
-                      now + call.objective_left_ms - call.transit},
-                     now));
+  slot_request slot{request->ticket, call.rank, call.work_class, request->deadline,
+                    now + call.objective_left_ms - call.transit};
+  if (call.workspace.has_value()) {
+    slot.workspace = call.workspace->name;
+    slot.workspace_rank = call.workspace->rank;
+  }
+  apply(queue_.offer(slot, now));
 }
 
 void inbound_work::apply(const slot_changes& changes) {
--- a/Tests/mesh/slot_queue_test.cpp
+++ b/Tests/mesh/slot_queue_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
+#include <string>
 
 #include "core/random_source.h"
 
@@ -167,4 +168,77 @@
   CHECK(changes.started.empty());
 }
 
+namespace {
+
+slot_request request_of(std::uint64_t ticket, const std::string& workspace, std::int32_t rank,
+                        time_point now) {
+  slot_request request = make_request(ticket, rank, now);
+  request.workspace = workspace_name(workspace);
+  return request;
+}
+
+/// Offers the requests of several workspaces, at random times with the given mean rates, to 10
+/// slots for 10 s. Returns the share of the requests of each that were started.
+std::map<std::string, double> run_workspaces(const std::map<std::string, int>& rates_per_s) {
+  load_run run(10);
+  random_source random(11);
+  std::multimap<time_point, std::string> arrivals;
+  std::map<std::string, double> offered;
+  for (const auto& [workspace, rate] : rates_per_s) {
+    for (time_point at = start; at < start + std::chrono::seconds(10);) {
+      at +=
+          random.exponential(std::chrono::duration_cast<duration>(std::chrono::seconds(1)) / rate);
+      arrivals.emplace(at, workspace);
+      ++offered[workspace];
+    }
+  }
+  std::vector<std::string> workspaces;  // Of the tickets in their order.
+  for (const auto& [at, workspace] : arrivals) {
+    run.offer(request_of(workspaces.size(), workspace, 0, at), at);
+    workspaces.push_back(workspace);
+  }
+  run.finish_until(start + std::chrono::seconds(20));
+  std::map<std::string, double> shares;
+  for (const std::uint64_t ticket : run.order) {
+    shares[workspaces[ticket]] += 1 / offered[workspaces[ticket]];
+  }
+  return shares;
+}
+
+}  // namespace
+
+TEST_CASE("workspaces share the slots", "[mesh]") {
+  SECTION("one with a request a second is served beside one with five hundred") {
+    // Failure guarded against: a workspace whose few requests are refused with those of another.
+    const auto shares = run_workspaces({{"large", 500}, {"small", 1}});
+    CHECK(shares.at("small") > 0.9);
+    CHECK(shares.at("large") > 0.17);
+  }
+  SECTION("a sudden demand does not take what others need") {
+    const auto shares = run_workspaces({{"a", 30}, {"b", 30}, {"sudden", 400}});
+    CHECK(shares.at("a") > 0.9);
+    CHECK(shares.at("b") > 0.9);
+    CHECK(shares.at("sudden") > 0.07);
+  }
+  SECTION("none is served less than a quarter as often as all") {
+    const auto shares = run_workspaces({{"a", 200}, {"b", 100}, {"c", 50}, {"", 50}});
+    for (const auto& [workspace, share] : shares) {
+      CHECK(share > 0.25 * 100 / 400);
+    }
+  }
+}
+
+TEST_CASE("the rank of a workspace counts before the rank of the route", "[mesh]") {
+  // Failure guarded against: an urgent route of a workspace that may wait delays others.
+  load_run run(1);
+  run.offer(make_request(1, 0, start), start);
+  slot_request less_urgent = request_of(2, "w", 0, start);
+  less_urgent.workspace_rank = 1;
+  run.offer(less_urgent, start);
+  run.offer(request_of(3, "v", 2, start), start);
+  CHECK_FALSE(run.queue.load().wait_ms.empty());
+  run.finish_until(start + std::chrono::seconds(1));
+  CHECK(run.order == std::vector<std::uint64_t>{1, 3, 2});
+}
+
 }  // namespace crocusdoor
