Probe doubtful service time estimates instead of refusing permanently

Cause: every end of a started request counted as a service time, also if it was cut off or cancelled. An estimate above the callers' deadlines was never corrected, because only admitted requests give samples. One late response was enough to refuse a service until the restart of its daemon.

Change: a request that was cut off or cancelled is a lower bound, and one that did not run is not recorded. While a slot is free, slot_queue and admission_controller run one request at a time for each work class that only an estimate with few samples, or none in the last second, rules out. A faster result replaces the estimate. The same kind of decision in upstream_pool (a route's own estimate while all upstreams are full; a reported service time that does not change without requests) now ends as well.

--- a/Source/admission/admission_controller.cpp
+++ b/Source/admission/admission_controller.cpp
@@ -53,12 +53,24 @@
   return decision;
 }
 
-admission_changes admission_controller::finished(admission_ticket ticket, time_point now) {
+admission_changes admission_controller::finished(admission_ticket ticket, time_point now,
+                                                 verdict outcome) {
   const auto found = running_.find(ticket);
   if (found == running_.end()) {
     return {};
   }
-  history_.record(*found->second.work_class, now - found->second.started_at);
+  const measured_run& run = found->second.run;
+  switch (outcome) {
+    case verdict::ran:
+      history_.completed(run, now);
+      break;
+    case verdict::not_run:
+      history_.not_run(run);
+      break;
+    case verdict::may_have_run:
+      history_.cut_off(run, now);
+      break;
+  }
   isolated_running_ -= found->second.isolated ? 1 : 0;
   running_.erase(found);
   return update_queue(now);
@@ -103,8 +115,8 @@
 }
 
 bool admission_controller::counts_as_long(const running_request& running, time_point now) const {
-  return policy_.reserve->is_long(now - running.started_at, history_.median()) ||
-         is_long(*running.work_class);
+  return policy_.reserve->is_long(now - running.run.started_at, history_.median()) ||
+         is_long(*running.run.work_class);
 }
 
 int admission_controller::long_running(time_point now) const {
@@ -126,7 +138,7 @@
   for (const auto& [ticket, running] : running_) {
     if (counts_as_long(running, now) == for_long) {
       ++running_in_group;
-      result.work_us += microseconds(history_.mean(*running.work_class)) / 2;
+      result.work_us += microseconds(history_.mean(*running.run.work_class)) / 2;
     }
   }
   result.has_free_slot = running_in_group < slots &&
@@ -195,10 +207,21 @@
 
 void admission_controller::start(const waiting_request& waiting, time_point now) {
   waiting_.erase(waiting.request.ticket);
-  running_[waiting.request.ticket] = {waiting.work_class, now, waiting.request.isolated};
+  running_[waiting.request.ticket] = {history_.start(*waiting.work_class, now, waiting.probe),
+                                      waiting.request.isolated};
   isolated_running_ += waiting.request.isolated ? 1 : 0;
 }
 
+/// Whether a request that the estimate of its work class rules out may start now to check it.
+bool admission_controller::may_probe(const waiting_request& waiting, time_point now) const {
+  const bool probe_waits = std::any_of(queue_.begin(), queue_.end(), [&](const auto& other) {
+    return other.probe && other.work_class == waiting.work_class &&
+           other.request.ticket != waiting.request.ticket;
+  });
+  return !probe_waits && now < waiting.request.deadline && may_start(waiting, now) &&
+         waiting.work_class->admits_probe(now);
+}
+
 void admission_controller::refuse_infeasible(time_point now, admission_changes& changes) {
   if (queue_.empty() || policy_.feasibility->accepts_all()) {
     return;
@@ -206,7 +229,10 @@
   const std::vector<waiting_estimate> estimates = waiting_estimates(now);
   std::size_t kept = 0;
   for (std::size_t i = 0; i < queue_.size(); ++i) {
-    if (policy_.feasibility->feasible(estimates[i], now)) {
+    queue_[i].probe = false;
+    const bool feasible = policy_.feasibility->feasible(estimates[i], now);
+    queue_[i].probe = !feasible && may_probe(queue_[i], now);
+    if (feasible || queue_[i].probe) {
       std::swap(queue_[kept++], queue_[i]);
       continue;
     }
--- a/Source/admission/admission_controller.h
+++ b/Source/admission/admission_controller.h
@@ -11,6 +11,7 @@
 #include "admission/admission_request.h"
 #include "admission/service_time_history.h"
 #include "core/time.h"
+#include "core/verdict.h"
 #include "routing/load_report.h"
 
 namespace crocusdoor {
@@ -30,7 +31,10 @@
   [[nodiscard]] admission_decision offer(const admission_request& request, time_point now);
 
   /// Frees the slot of a running request and starts waiting requests. Ignores unknown tickets.
-  [[nodiscard]] admission_changes finished(admission_ticket ticket, time_point now);
+  /// `outcome`: only a request that ran to its response is a sample of the service time; one that
+  /// may have run has taken at least the time since its start.
+  [[nodiscard]] admission_changes finished(admission_ticket ticket, time_point now,
+                                           verdict outcome = verdict::ran);
 
   /// Refuses waiting requests that can no longer finish in time.
   [[nodiscard]] admission_changes tick(time_point now);
@@ -57,10 +61,10 @@
     admission_request request;
     std::uint64_t arrival = 0;
     service_time_estimate* work_class = nullptr;
+    bool probe = false;  ///< Only a doubtful estimate rules it out.
   };
   struct running_request {
-    service_time_estimate* work_class = nullptr;
-    time_point started_at;
+    measured_run run;
     bool isolated = false;
   };
   /// Slots available to one kind of request (short or long), and the work ahead on them.
@@ -80,6 +84,8 @@
   [[nodiscard]] bool may_start(const waiting_request& waiting, time_point now) const;
   [[nodiscard]] bool is_known(admission_ticket ticket) const;
 
+  [[nodiscard]] bool may_probe(const waiting_request& waiting, time_point now) const;
+
   void enqueue(const admission_request& request);
   void start(const waiting_request& waiting, time_point now);
   void refuse_infeasible(time_point now, admission_changes& changes);
--- a/Source/daemon/target_gateway.cpp
+++ b/Source/daemon/target_gateway.cpp
@@ -180,7 +180,8 @@
   // expired.
   const std::string reason = refusal_reason(call);
   if (!reason.empty() && reason != "draining") {
-    const admission_changes changes = admission_.finished(call->ticket, shared_.loop.now());
+    const admission_changes changes =
+        admission_.finished(call->ticket, shared_.loop.now(), verdict::not_run);
     refuse(call, reason, default_retry_after);
     apply(changes);
     return;
@@ -228,7 +229,7 @@
       callbacks_.complete_claim(*call->request.claim_held, response.outcome, std::move(recorded));
     }
   }
-  const admission_changes changes = admission_.finished(call->ticket, now);
+  const admission_changes changes = admission_.finished(call->ticket, now, response.outcome);
   respond(call, std::move(response));
   apply(changes);
 }
@@ -327,7 +328,8 @@
     apply(result.changes);
   } else if (result.outcome == cancel_outcome::was_running) {
     target_.cancel(call->target_call);
-    const admission_changes freed = admission_.finished(call->ticket, shared_.loop.now());
+    const admission_changes freed =
+        admission_.finished(call->ticket, shared_.loop.now(), verdict::may_have_run);
     wire::call_answer response;
     response.reason = reason;
     respond(call, std::move(response));
--- a/Source/mesh/slot_queue.cpp
+++ b/Source/mesh/slot_queue.cpp
@@ -64,7 +64,11 @@
   const queue_position position{request.rank, request.objective, ++arrivals_};
   const time_point response_at = now + expected_wait(position) + median_service_time(*work_class);
   if (response_at > request.deadline) {
-    refuse(request, slot_refusal::deadline_unreachable, response_at - request.deadline, changes);
+    if (may_probe(request, *work_class, now)) {
+      start(request, *work_class, true, now, changes);
+    } else {
+      refuse(request, slot_refusal::deadline_unreachable, response_at - request.deadline, changes);
+    }
     return changes;
   }
   const time_point p90_response_at =
@@ -80,15 +84,21 @@
   return changes;
 }
 
-void slot_queue::start(const waiting_request& waiting, time_point now, slot_changes& changes) {
-  running_[waiting.request.ticket] = {waiting.work_class, now};
-  changes.started.push_back(waiting.request.ticket);
+bool slot_queue::may_probe(const slot_request& request, const service_time_estimate& work_class,
+                           time_point now) const {
+  return has_free_slot() && now < request.deadline && work_class.admits_probe(now);
+}
+
+void slot_queue::start(const slot_request& request, service_time_estimate& work_class, bool probe,
+                       time_point now, slot_changes& changes) {
+  running_[request.ticket] = history_.start(work_class, now, probe);
+  changes.started.push_back(request.ticket);
 }
 
 void slot_queue::start_waiting(time_point now, slot_changes& changes) {
   while (!waiting_.empty() && has_free_slot()) {
     const auto first = waiting_.begin();
-    start(first->second, now, changes);
+    start(first->second.request, *first->second.work_class, false, now, changes);
     waiting_.erase(first);
   }
 }
@@ -109,20 +119,31 @@
 }
 
 slot_changes slot_queue::finished(std::uint64_t ticket, time_point now) {
-  slot_changes changes;
-  const auto found = running_.find(ticket);
-  if (found != running_.end()) {
-    history_.record(*found->second.work_class, now - found->second.started_at);
-    running_.erase(found);
+  if (const auto run = running_.extract(ticket)) {
+    history_.completed(run.mapped(), now);
   }
-  refuse_late(now, changes);
-  start_waiting(now, changes);
-  return changes;
+  return slot_freed(now);
+}
+
+slot_changes slot_queue::cut_off(std::uint64_t ticket, time_point now) {
+  if (const auto run = running_.extract(ticket)) {
+    history_.cut_off(run.mapped(), now);
+  }
+  return slot_freed(now);
 }
 
 slot_changes slot_queue::release(std::uint64_t ticket, time_point now) {
-  running_.erase(ticket);
-  return finished(ticket, now);
+  if (const auto run = running_.extract(ticket)) {
+    history_.not_run(run.mapped());
+  }
+  return slot_freed(now);
+}
+
+slot_changes slot_queue::slot_freed(time_point now) {
+  slot_changes changes;
+  refuse_late(now, changes);
+  start_waiting(now, changes);
+  return changes;
 }
 
 bool slot_queue::withdraw(std::uint64_t ticket) {
--- a/Source/mesh/slot_queue.h
+++ b/Source/mesh/slot_queue.h
@@ -59,13 +59,20 @@
 /// that its caller can try another upstream while there is time, and so that it does not delay the
 /// requests that can be answered. A short request delays the others little and may wait until
 /// its deadline.
+///
+/// While a slot is free, a request that only a doubtful estimate rules out runs as a probe, one at
+/// a time for each work class. Otherwise the estimate would refuse the requests that could correct
+/// it.
 class slot_queue {
  public:
   /// Starts, queues or refuses a request. Less urgent waiting requests that can no longer be
   /// answered by their deadline because of it are refused.
   [[nodiscard]] slot_changes offer(const slot_request& request, time_point now);
-  /// Frees the slot of a request that has run.
+  /// Frees the slot of a request that has run and got the target's response.
   [[nodiscard]] slot_changes finished(std::uint64_t ticket, time_point now);
+  /// Frees the slot of a request that was cancelled or ended without a response. Its service time
+  /// is at least the time that it has run.
+  [[nodiscard]] slot_changes cut_off(std::uint64_t ticket, time_point now);
   /// Frees the slot of a started request that has not run; its service time is not recorded.
   [[nodiscard]] slot_changes release(std::uint64_t ticket, time_point now);
   /// Removes a request from the queue; false if it is not waiting.
@@ -92,26 +99,27 @@
     slot_request request;
     service_time_estimate* work_class = nullptr;
   };
-  struct running_request {
-    service_time_estimate* work_class = nullptr;
-    time_point started_at;
-  };
 
   [[nodiscard]] duration median_service_time(const service_time_estimate& work_class) const;
   [[nodiscard]] duration expected_wait(const queue_position& position) const;
   [[nodiscard]] bool has_free_slot() const;
   [[nodiscard]] bool is_short(const service_time_estimate& work_class) const;
   [[nodiscard]] duration retry_after(duration overrun) const;
-  void start(const waiting_request& waiting, time_point now, slot_changes& changes);
+  [[nodiscard]] bool may_probe(const slot_request& request, const service_time_estimate& work_class,
+                               time_point now) const;
+  void start(const slot_request& request, service_time_estimate& work_class, bool probe,
+             time_point now, slot_changes& changes);
   void refuse(const slot_request& request, slot_refusal reason, duration overrun,
               slot_changes& changes);
   void start_waiting(time_point now, slot_changes& changes);
   void refuse_late(time_point now, slot_changes& changes);
+  /// Starts or refuses waiting requests after a slot has been freed.
+  [[nodiscard]] slot_changes slot_freed(time_point now);
 
   std::int32_t slots_ = 1;
   std::uint64_t arrivals_ = 0;
   std::map<queue_position, waiting_request> waiting_;
-  std::map<std::uint64_t, running_request> running_;
+  std::map<std::uint64_t, measured_run> running_;
   service_time_history history_;
 };
 
--- a/Source/mesh/upstream_pool.cpp
+++ b/Source/mesh/upstream_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace crocusdoor {
 
@@ -39,6 +40,12 @@
 constexpr double cost_tolerance = 0.01;
 /// A load report that is older than this does not justify a refusal.
 constexpr duration report_validity = std::chrono::milliseconds(700);
+/// Time between requests of one work class that are sent although its doubtful estimate rules out
+/// every upstream.
+constexpr duration probe_interval = std::chrono::seconds(1);
+/// Time in which the slowness of an upstream counts half as much, while the service time that it
+/// reports does not change. An upstream that gets no requests would otherwise stay slow forever.
+constexpr duration slowness_half_life = std::chrono::seconds(3);
 
 duration from_ms(double value) {
   return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
@@ -82,10 +89,24 @@
   return reported_ms + mean_ms * entry.sent_since_report / slots;
 }
 
+/// Brings service times that have not changed for some time nearer to the shortest one.
+void upstream_pool::age_service_times(std::vector<candidate_upstream>& candidates, time_point now) {
+  double shortest_ms = std::numeric_limits<double>::max();
+  for (const candidate_upstream& candidate : candidates) {
+    shortest_ms = std::min(shortest_ms, candidate.expected_ms);
+  }
+  for (candidate_upstream& candidate : candidates) {
+    const duration unchanged = now - candidate.entry->service_time_changed_at;
+    const double half_lives = std::chrono::duration<double>(unchanged) /
+                              std::chrono::duration<double>(slowness_half_life);
+    candidate.expected_ms =
+        shortest_ms + (candidate.expected_ms - shortest_ms) * std::exp2(-half_lives);
+  }
+}
+
 std::vector<upstream_pool::candidate_upstream> upstream_pool::candidates_for(
-    const placement_request& request, time_point now) const {
+    const placement_request& request, duration class_mean, time_point now) const {
   std::vector<candidate_upstream> candidates;
-  double total_ms = 0;
   for (const auto& [name, entry] : upstreams_) {
     const bool usable =
         entry.description.service == request.service && entry.description.takes_requests &&
@@ -94,10 +115,13 @@
     if (usable) {
       const double reported_ms = static_cast<double>(entry.load.service_time_us) / 1'000.0;
       candidates.push_back({&entry, reported_ms > 0 ? reported_ms : default_service_time_ms, 0, 0});
-      total_ms += candidates.back().expected_ms;
     }
   }
-  const duration class_mean = history_.known_mean(request.work_class);
+  age_service_times(candidates, now);
+  double total_ms = 0;
+  for (const candidate_upstream& candidate : candidates) {
+    total_ms += candidate.expected_ms;
+  }
   const double mean_ms = total_ms / std::max<double>(1.0, static_cast<double>(candidates.size()));
   const double class_ms = class_mean > duration::zero()
                               ? std::chrono::duration<double, std::milli>(class_mean).count()
@@ -152,9 +176,32 @@
   return stale || has_room || candidate.expected_ms <= candidate.limit_ms;
 }
 
+void upstream_pool::remove_late(std::vector<candidate_upstream>& candidates, time_point now) {
+  std::erase_if(candidates, [&](const candidate_upstream& candidate) {
+    return !may_answer_in_time(candidate, now);
+  });
+}
+
+/// Upstreams that could answer if the doubtful estimate of the work class is disregarded. Empty if
+/// the estimate is not doubtful, or another request has checked it recently.
+std::vector<upstream_pool::candidate_upstream> upstream_pool::probe_candidates(
+    const placement_request& request, time_point now) {
+  service_time_estimate& estimate = *history_.estimate_of(request.work_class);
+  if (estimate.samples() == 0 || !estimate.admits_probe(now)) {
+    return {};
+  }
+  std::vector<candidate_upstream> candidates = candidates_for(request, duration::zero(), now);
+  remove_late(candidates, now);
+  if (!candidates.empty()) {
+    estimate.defer_probes(now + probe_interval);
+  }
+  return candidates;
+}
+
 placement upstream_pool::choose(const placement_request& request, time_point now,
                                 random_source& random) {
-  std::vector<candidate_upstream> candidates = candidates_for(request, now);
+  std::vector<candidate_upstream> candidates =
+      candidates_for(request, history_.known_mean(request.work_class), now);
   if (candidates.empty()) {
     return {};
   }
@@ -163,9 +210,10 @@
   };
   const double shortest_ms =
       std::min_element(candidates.begin(), candidates.end(), by_time)->expected_ms;
-  std::erase_if(candidates, [&](const candidate_upstream& candidate) {
-    return !may_answer_in_time(candidate, now);
-  });
+  remove_late(candidates, now);
+  if (candidates.empty()) {
+    candidates = probe_candidates(request, now);
+  }
   if (candidates.empty()) {
     const duration shortest = from_ms(shortest_ms);
     return {std::nullopt, true, shortest - request.objective, shortest};
@@ -210,13 +258,21 @@
     return;
   }
   upstream_entry& entry = found->second;
+  if (entry.load.service_time_us != load.service_time_us) {
+    entry.service_time_changed_at = now;
+  }
   entry.load = load;
   entry.reported_at = now;
   entry.sent_since_report = 0;
 }
 
-void upstream_pool::service_time_measured(const std::string& work_class, duration time) {
-  history_.record(*history_.estimate_of(work_class), time);
+void upstream_pool::service_time_measured(const std::string& work_class, duration time,
+                                          time_point now) {
+  service_time_estimate& estimate = *history_.estimate_of(work_class);
+  if (estimate.is_old(now) && time < estimate.mean()) {
+    estimate = {};
+  }
+  history_.record(estimate, time, now);
 }
 
 void upstream_pool::size_measured(const std::string& work_class, std::size_t bytes) {
--- a/Source/mesh/upstream_pool.h
+++ b/Source/mesh/upstream_pool.h
@@ -76,7 +76,7 @@
   void attempt_ended(const instance_name& instance, attempt_quality quality, time_point now);
   void load_reported(const instance_name& instance, const load_report& load, time_point now);
   /// Records the time that a request of this class has spent at an upstream.
-  void service_time_measured(const std::string& work_class, duration time);
+  void service_time_measured(const std::string& work_class, duration time, time_point now);
   /// Records the size of the bodies of a request of this class and of its response, added up.
   void size_measured(const std::string& work_class, std::size_t bytes);
 
@@ -88,9 +88,10 @@
     mesh_upstream description;
     load_report load;
     time_point reported_at{};
-    std::int32_t outstanding = 0;        ///< This daemon's attempts without a response.
-    std::int32_t sent_since_report = 0;  ///< This daemon's attempts that `load` does not include.
-    failure_share failures;              ///< Of this daemon's attempts.
+    time_point service_time_changed_at{};  ///< When the reported service time was another one.
+    std::int32_t outstanding = 0;          ///< This daemon's attempts without a response.
+    std::int32_t sent_since_report = 0;    ///< This daemon's attempts that `load` does not include.
+    failure_share failures;                ///< Of this daemon's attempts.
     bool silent = false;
   };
 
@@ -102,12 +103,18 @@
     double cost = 0;
   };
 
+  /// `class_mean`: expected service time of the request's class; zero if it is not known.
   [[nodiscard]] std::vector<candidate_upstream> candidates_for(const placement_request& request,
+                                                               duration class_mean,
                                                                time_point now) const;
+  [[nodiscard]] std::vector<candidate_upstream> probe_candidates(const placement_request& request,
+                                                                 time_point now);
   [[nodiscard]] static double expected_wait_ms(const upstream_entry& entry, std::int32_t rank);
   [[nodiscard]] double cost(const candidate_upstream& candidate, const placement_request& request,
                             time_point now) const;
   [[nodiscard]] double crossing_cost(const std::string& work_class) const;
+  static void age_service_times(std::vector<candidate_upstream>& candidates, time_point now);
+  static void remove_late(std::vector<candidate_upstream>& candidates, time_point now);
   [[nodiscard]] static bool may_answer_in_time(const candidate_upstream& candidate, time_point now);
 
   failure_domain own_domain_;
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -136,11 +136,23 @@
   }
   const time_point now = shared_.timers.now();
   failures_.record(failed, now);
-  const slot_changes changes = queue_.finished(request->ticket, now);
+  const slot_changes changes = free_slot(request->ticket, response.outcome, now);
   respond(*request, std::move(response));
   apply(changes);
 }
 
+slot_changes inbound_work::free_slot(std::uint64_t ticket, verdict outcome, time_point now) {
+  switch (outcome) {
+    case verdict::ran:
+      return queue_.finished(ticket, now);
+    case verdict::not_run:
+      return queue_.release(ticket, now);
+    case verdict::may_have_run:
+      break;
+  }
+  return queue_.cut_off(ticket, now);
+}
+
 void inbound_work::refuse(const request_pointer& request, const inbound_refusal& refusal) {
   shared_.log.request(log_level::info, "refused_at_target",
                       {{"request", attempt_id_of(*request)},
@@ -205,7 +217,7 @@
     return;
   }
   callbacks_.stop(request->ticket);
-  const slot_changes changes = queue_.finished(request->ticket, shared_.timers.now());
+  const slot_changes changes = queue_.cut_off(request->ticket, shared_.timers.now());
   wire::call_answer response;
   response.reason = reason;
   respond(*request, std::move(response));
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -113,6 +113,9 @@
   void abandon(const request_pointer& request, const std::string& reason);
   /// Refuses a request that has not been sent to the target, and frees its queue entry or slot.
   void drop(const request_pointer& request, const inbound_refusal& refusal);
+  /// Frees the slot of a request that was started. Only a response of the target is a sample of the
+  /// service time.
+  [[nodiscard]] slot_changes free_slot(std::uint64_t ticket, verdict outcome, time_point now);
   void refuse(const request_pointer& request, const inbound_refusal& refusal);
   void respond(const inbound_request& request, wire::call_answer response);
 
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -217,8 +217,8 @@
   if (outcome.response.has_value()) {
     services_.upstreams.load_reported(ended.instance, outcome.response->load, shared_.loop.now());
     if (outcome.outcome == verdict::ran && outcome.response->status < status_server_error) {
-      services_.upstreams.service_time_measured(call_.work_class,
-                                                duration(outcome.response->ran_us));
+      services_.upstreams.service_time_measured(
+          call_.work_class, duration(outcome.response->ran_us), shared_.loop.now());
       services_.upstreams.size_measured(
           call_.work_class, call_.body.bytes.size() + outcome.response->body.bytes.size());
     }
