Read the era of the store in each response

The store may return from an older copy and assign its revisions again. Each response, refusals included, states its era.

mesh_store keeps the newest era that a response or a peer has stated and calls a handler when it rises, before the callback of the response. object_store turns a response of an older era into one that counts as not answered, and a listing whose pages are of two eras fails as a whole. mesh_store gets calls to cancel a watch and to read the revision of an entry. The stores of the tests can go back.

--- /dev/null
+++ b/Source/mesh/store_era.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+namespace crocusdoor {
+
+/// How the era in a message relates to the newest era that is known.
+enum class era_relation {
+  current,   ///< The same, the first one, or the message states none.
+  outdated,  ///< The message is from before the store went back to an older copy.
+  newer,     ///< The store has gone back; what was known of its revisions is void.
+};
+
+/// The newest era of the platform's store that this process knows. The store starts a new era when
+/// it returns from an older copy and assigns revisions again.
+class store_era {
+ public:
+  /// A response of the store or a peer states this era; 0 if it states none.
+  era_relation observe(std::uint64_t era);
+  /// 0 if no message has stated an era.
+  [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
+
+ private:
+  std::uint64_t newest_ = 0;
+};
+
+}  // namespace crocusdoor
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -10,6 +10,7 @@
 
 #include "core/error.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/store_era.h"
 #include "mesh/target_registry.h"
 #include "suspicion/crash_counts.h"
 #include "transport/http_types.h"
@@ -96,8 +97,18 @@
   std::uint64_t revision = 0;
 };
 
+/// The store has started a new era.
+struct era_change {
+  std::uint64_t previous = 0;
+  std::uint64_t era = 0;
+  bool from_peer = false;  ///< Whether a peer has told it rather than a response of the store.
+};
+
 /// Calls to the platform's store. Each callback is called exactly once, from the event loop after
-/// the call has returned.
+/// the call has returned, except that of a watch that is cancelled.
+///
+/// A response of an older era than the newest one known counts as not answered
+/// (`store_outcome::unknown`).
 class mesh_store {
  public:
   mesh_store() = default;
@@ -109,6 +120,17 @@
   using listing_callback = std::function<void(const daemon_listing&)>;
   using outcome_callback = std::function<void(store_outcome)>;
   using write_callback = std::function<void(const daemon_write&)>;
+  using era_handler = std::function<void(const era_change&)>;
+
+  /// Sets the handler of a new era. It is called before the callback of the response that states
+  /// the era.
+  void on_new_era(era_handler handler) { new_era_ = std::move(handler); }
+  /// A peer knows this era; responses of older ones are outdated.
+  void peer_reported_era(std::uint64_t era) { (void)observe_era(era, true); }
+  /// Newest era known; 0 if the store states none.
+  [[nodiscard]] std::uint64_t era() const noexcept { return era_.newest(); }
+  /// Number of responses of an older era than the newest one known then.
+  [[nodiscard]] std::uint64_t outdated_responses() const noexcept { return outdated_responses_; }
 
   virtual void read_configuration(configuration_callback done) = 0;
   /// Closes idle connections, whose other end may no longer respond, so that further calls use new
@@ -117,13 +139,40 @@
   /// Waits for a change after a revision, for no longer than `wait`.
   virtual void watch_configuration(std::uint64_t revision, duration wait,
                                    configuration_callback done) = 0;
+  /// Ends the outstanding watch. Its callback is not called, unless this is called while the
+  /// response to the watch is being handled.
+  virtual void cancel_watch() = 0;
   virtual void list_daemons(listing_callback done) = 0;
+  /// Reads the revision of an entry.
+  virtual void read_daemon(const instance_name& name, write_callback done) = 0;
   /// Creates the entry, or replaces one with another endpoint.
   virtual void announce_daemon(const daemon_entry& entry, outcome_callback done) = 0;
   /// Replaces an entry that exists, if it has the given revision; 0 replaces any.
   virtual void replace_daemon(const daemon_entry& entry, std::uint64_t revision,
                               write_callback done) = 0;
   virtual void withdraw_daemon(const instance_name& name, outcome_callback done) = 0;
+
+ protected:
+  /// A response states this era; 0 if it states none. Returns whether its content may be used.
+  [[nodiscard]] bool response_is_current(std::uint64_t era) {
+    const bool current = observe_era(era, false);
+    outdated_responses_ += current ? 0 : 1;
+    return current;
+  }
+
+ private:
+  bool observe_era(std::uint64_t era, bool from_peer) {
+    const std::uint64_t previous = era_.newest();
+    const era_relation relation = era_.observe(era);
+    if (relation == era_relation::newer && new_era_) {
+      new_era_({previous, era, from_peer});
+    }
+    return relation != era_relation::outdated;
+  }
+
+  store_era era_;
+  era_handler new_era_;
+  std::uint64_t outdated_responses_ = 0;
 };
 
 /// The conventions of the platform, expressed in the types of the mesh.
--- a/Tests/platform_adapter/object_store_test.cpp
+++ b/Tests/platform_adapter/object_store_test.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "scripted_server.h"
 #include "transport/tcp_listener.h"
 
 namespace crocusdoor::platform {
@@ -102,4 +103,72 @@
   }
 }
 
+TEST_CASE("the era in the responses of the store", "[platform_adapter]") {
+  // Failure guarded against: content of the time before the store went back to an older copy was
+  // used after it.
+  event_loop loop;
+  std::string stated = "Store-Era: 4\r\n";
+  std::vector<std::string> bodies;
+  const scripted_server server(loop, store_port, [&](auto& connection, const std::string& request) {
+    if (request.find("watch=") != std::string::npos) {
+      return;
+    }
+    const std::string body = bodies.empty() ? "{}" : bodies.front();
+    const char* status = bodies.empty() ? "404 Not Found" : "200 OK";
+    if (!bodies.empty()) {
+      bodies.erase(bodies.begin());
+    }
+    connection.write("HTTP/1.1 " + std::string(status) + "\r\n" + stated +
+                     "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    if (bodies.size() == 1) {
+      stated = "Store-Era: 6\r\n";
+    }
+  });
+  object_store store(loop, {"127.0.0.1", store_port});
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> changes;
+  store.on_new_era(
+      [&](const era_change& change) { changes.emplace_back(change.previous, change.era); });
+  REQUIRE(read_once(loop, store) == store_outcome::not_found);
+  REQUIRE(store.era() == 4);
+
+  SECTION("is reported once when it rises, by refusals too") {
+    stated = "Store-Era: 5\r\n";
+    CHECK(read_once(loop, store) == store_outcome::not_found);
+    CHECK(read_once(loop, store) == store_outcome::not_found);
+    CHECK(changes == std::vector<std::pair<std::uint64_t, std::uint64_t>>{{4, 5}});
+  }
+  SECTION("makes a response count as not answered if a newer one is known") {
+    store.peer_reported_era(5);
+    CHECK(read_once(loop, store) == store_outcome::unknown);
+    CHECK(store.era() == 5);
+  }
+  SECTION("is not required, and a value that is no number counts as none") {
+    stated = GENERATE(as<std::string>{}, "", "Store-Era: x\r\n", "Store-Era: -1\r\n",
+                      "Store-Era: 3 2\r\n");
+    CHECK(read_once(loop, store) == store_outcome::not_found);
+    CHECK(changes.empty());
+  }
+  SECTION("must be the same for all pages of a listing") {
+    const std::string entry =
+        R"({"metadata":{"name":"d","revision":3},"spec":{"endpoint":"127.0.0.1:1"}})";
+    bodies = {R"({"items":[)" + entry + R"(],"truncated":true})", R"({"items":[]})"};
+    daemon_listing received;
+    store.list_daemons([&](const daemon_listing& listing) {
+      received = listing;
+      loop.stop();
+    });
+    loop.run();
+    CHECK(received.outcome == store_outcome::unknown);
+    CHECK(received.revisions.empty());
+  }
+  SECTION("a watch that is cancelled does not call back, and the next one is sent") {
+    store.watch_configuration(1, std::chrono::milliseconds(10),
+                              [&](const configuration_read_result&) { FAIL("cancelled"); });
+    store.cancel_watch();
+    store.watch_configuration(1, std::chrono::milliseconds(10),
+                              [&](const configuration_read_result&) { loop.stop(); });
+    loop.run();
+  }
+}
+
 }  // namespace crocusdoor::platform
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -27,6 +27,19 @@
 
 }  // namespace
 
+void store_contents::go_back(const copy& older) {
+  revision = older.revision;
+  document = older.document;
+  daemons = older.daemons;
+  daemon_revisions = older.daemon_revisions;
+  ++era;
+}
+
+void test_store::respond(std::function<void()> response) {
+  ++contents_.calls;
+  response_timers_.push_back(loop_.after(store_latency, std::move(response)));
+}
+
 configuration_read_result test_store::current_configuration() const {
   configuration_read_result result;
   result.outcome = store_outcome::refused;
@@ -45,51 +58,77 @@
 }
 
 void test_store::read_configuration(configuration_callback done) {
-  response_timers_.push_back(
-      loop_.after(store_latency, [this, done] { done(current_configuration()); }));
+  respond([this, done] {
+    (void)responds();
+    done(current_configuration());
+  });
 }
 
 void test_store::watch_configuration(std::uint64_t revision, duration wait,
                                      configuration_callback done) {
   const time_point end = loop_.now() + wait;
+  ++contents_.calls;
   ++contents_.waiting;
   contents_.last_watch_revision = revision;
   watch_timer_ = loop_.every(watch_poll, [this, revision, end, done] {
+    configuration_read_result result;
+    result.outcome = store_outcome::done;
+    result.revision = contents_.revision;
     if (!reachable() || contents_.revision > revision) {
-      watch_timer_ = nullptr;
-      --contents_.waiting;
-      done(current_configuration());
-    } else if (loop_.now() >= end) {
-      watch_timer_ = nullptr;
-      --contents_.waiting;
-      configuration_read_result unchanged;
-      unchanged.outcome = store_outcome::done;
-      unchanged.revision = contents_.revision;
-      done(unchanged);
+      result = current_configuration();
+    } else if (contents_.revision < revision) {
+      result.outcome = store_outcome::history_gone;
+    } else if (loop_.now() < end) {
+      return;
     }
+    watch_timer_ = nullptr;
+    --contents_.waiting;
+    (void)responds();
+    done(result);
   });
 }
 
+void test_store::cancel_watch() {
+  if (watch_timer_ != nullptr) {
+    watch_timer_ = nullptr;
+    --contents_.waiting;
+  }
+}
+
 void test_store::list_daemons(listing_callback done) {
-  response_timers_.push_back(loop_.after(store_latency, [this, done] {
+  respond([this, done] {
     daemon_listing listing;
-    listing.outcome = reachable() ? store_outcome::done : store_outcome::refused;
+    listing.outcome = responds() ? store_outcome::done : store_outcome::refused;
     listing.revisions = contents_.daemon_revisions;
     for (const auto& [name, entry] : contents_.daemons) {
       listing.daemons.push_back(entry);
     }
     done(listing);
-  }));
+  });
+}
+
+void test_store::read_daemon(const instance_name& name, write_callback done) {
+  respond([this, name, done] {
+    const auto found = contents_.daemon_revisions.find(name);
+    if (!responds()) {
+      done({store_outcome::refused, 0});
+    } else if (found == contents_.daemon_revisions.end()) {
+      done({store_outcome::not_found, 0});
+    } else {
+      done({store_outcome::done, found->second});
+    }
+  });
 }
 
 void test_store::announce_daemon(const daemon_entry& entry, outcome_callback done) {
-  response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
-    if (reachable()) {
+  respond([this, entry, done] {
+    const bool executed = responds();
+    if (executed) {
       contents_.daemons.try_emplace(entry.name, entry).first->second.endpoint = entry.endpoint;
       contents_.daemon_revisions.try_emplace(entry.name, 1);
     }
-    done(reachable() ? store_outcome::done : store_outcome::refused);
-  }));
+    done(executed ? store_outcome::done : store_outcome::refused);
+  });
 }
 
 void test_store::replace_daemon(const daemon_entry& entry, std::uint64_t revision,
@@ -98,13 +137,17 @@
     --contents_.late_writes;
     response_timers_.push_back(
         loop_.after(late_write_delay, [this, entry, revision] { (void)write(entry, revision); }));
-    response_timers_.push_back(loop_.after(store_latency, [done] {
-      done({store_outcome::unknown, 0});
-    }));
+    respond([done] { done({store_outcome::unknown, 0}); });
     return;
   }
-  response_timers_.push_back(
-      loop_.after(store_latency, [this, entry, revision, done] { done(write(entry, revision)); }));
+  respond([this, entry, revision, done] {
+    const daemon_write result = write(entry, revision);
+    if (const auto action = std::exchange(contents_.after_write, nullptr)) {
+      action();
+    }
+    (void)responds();
+    done(result);
+  });
 }
 
 daemon_write test_store::write(const daemon_entry& entry, std::uint64_t revision) {
@@ -121,10 +164,12 @@
 }
 
 void test_store::withdraw_daemon(const instance_name& entry, outcome_callback done) {
-  response_timers_.push_back(loop_.after(store_latency, [this, entry, done] {
+  respond([this, entry, done] {
     contents_.daemons.erase(entry);
+    contents_.daemon_revisions.erase(entry);
+    (void)responds();
     done(store_outcome::done);
-  }));
+  });
 }
 
 test_instance::test_instance(event_loop& loop, store_contents& contents, std::string given_name,
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -17,11 +17,27 @@
 
 /// Contents of the platform's store, kept in the memory of the test.
 struct store_contents {
+  /// What an older copy of the store contains.
+  struct copy {
+    std::uint64_t revision = 1;
+    std::string document;
+    std::map<instance_name, daemon_entry> daemons;
+    std::map<instance_name, std::uint64_t> daemon_revisions;
+  };
+
+  [[nodiscard]] copy take_copy() const { return {revision, document, daemons, daemon_revisions}; }
+  /// Returns to an older copy with a new era.
+  void go_back(const copy& older);
+
   bool reachable = true;
   std::set<instance_name> turned_away;  ///< Daemons that the store refuses.
   /// Number of further changes of entries that get no response and are executed late.
   int late_writes = 0;
+  /// Called once after the next change of an entry, before its response.
+  std::function<void()> after_write;
   std::uint64_t revision = 1;
+  std::uint64_t era = 0;                  ///< 0 if the store states none.
+  int calls = 0;                          ///< Number of calls to the store, watches included.
   int waiting = 0;                        ///< Number of waiting watches.
   std::uint64_t last_watch_revision = 0;  ///< Revision from which the latest watch waits.
   std::string document;
@@ -40,7 +56,9 @@
   void close_idle_connections() override {}
   void watch_configuration(std::uint64_t revision, duration wait,
                            configuration_callback done) override;
+  void cancel_watch() override;
   void list_daemons(listing_callback done) override;
+  void read_daemon(const instance_name& name, write_callback done) override;
   void announce_daemon(const daemon_entry& entry, outcome_callback done) override;
   void replace_daemon(const daemon_entry& entry, std::uint64_t revision,
                       write_callback done) override;
@@ -51,6 +69,10 @@
     return contents_.reachable && !contents_.turned_away.contains(client_);
   }
   [[nodiscard]] configuration_read_result current_configuration() const;
+  /// Whether the client may use a response that is sent now. Calls the client's handler of eras.
+  [[nodiscard]] bool responds() { return reachable() && response_is_current(contents_.era); }
+  /// Calls `respond` after the latency of the store.
+  void respond(std::function<void()> response);
   [[nodiscard]] daemon_write write(const daemon_entry& entry, std::uint64_t revision);
 
   event_loop& loop_;
--- a/Tests/sidecar/model_store.cpp
+++ b/Tests/sidecar/model_store.cpp
@@ -36,7 +36,20 @@
 
 void model_store::write(std::uint64_t version) {
   ++revision_;
-  versions_.push_back({version, clock_.now()});
+  versions_.push_back({version, revision_, clock_.now()});
+}
+
+std::vector<std::uint64_t> model_store::go_back(std::size_t lost, bool interrupts_watches) {
+  std::vector<std::uint64_t> lost_versions;
+  for (; lost > 0 && versions_.size() > 1; --lost) {
+    lost_versions.insert(lost_versions.begin(), versions_.back().version);
+    versions_.pop_back();
+  }
+  revision_ = versions_.back().revision;
+  oldest_known_revision_ = std::min(oldest_known_revision_, revision_);
+  ++era_;
+  compactions_ += interrupts_watches ? 1 : 0;
+  return lost_versions;
 }
 
 std::uint64_t model_store::version_acknowledged_by(time_point when) const {
@@ -84,6 +97,7 @@
   bool silent = false;
   bool finished = false;
   int compactions = 0;
+  std::uint64_t era = 0;  ///< Stated by the response.
 };
 
 void model_store_client::respond(const configuration_callback& done,
@@ -91,7 +105,17 @@
   timers_.post(delay, [done, result] { done(result); });
 }
 
+void model_store_client::deliver(const configuration_callback& done,
+                                 configuration_read_result result, std::uint64_t era) {
+  const bool responded = result.outcome != store_outcome::unknown;
+  if (responded && !response_is_current(era)) {
+    result = without_content(store_outcome::unknown);
+  }
+  done(result);
+}
+
 void model_store_client::read_configuration(configuration_callback done) {
+  ++store_.calls_;
   const store_access access = store_.access(self_);
   const bool reused = timers_.now() - last_call_at_ < idle_limit;
   last_call_at_ = timers_.now();
@@ -103,14 +127,18 @@
   } else {
     // The response contains the state of the store after half of the latency.
     const auto result = std::make_shared<configuration_read_result>();
-    timers_.clock().post(store_.latency_ / 2,
-                         [result, &store = store_] { *result = store.newest(); });
-    timers_.post(store_.latency_, [done, result] { done(*result); });
+    const auto era = std::make_shared<std::uint64_t>(0);
+    timers_.clock().post(store_.latency_ / 2, [result, era, &store = store_] {
+      *result = store.newest();
+      *era = store.stated_era();
+    });
+    timers_.post(store_.latency_, [this, done, result, era] { deliver(done, *result, *era); });
   }
 }
 
 void model_store_client::watch_configuration(std::uint64_t revision, duration wait,
                                              configuration_callback done) {
+  ++store_.calls_;
   const auto pending = std::make_shared<watch>();
   pending->revision = revision;
   pending->end = timers_.now() + wait;
@@ -149,17 +177,25 @@
     result = without_content(store_outcome::refused);
   } else if (pending->compactions != store_.compactions_) {
     result = without_content(store_outcome::unknown);
-  } else if (pending->revision < store_.oldest_known_revision_) {
+  } else if (pending->revision < store_.oldest_known_revision_ ||
+             pending->revision > store_.revision_) {
     result = without_content(store_outcome::history_gone);
-  } else if (store_.revision_ > pending->revision && !changes_withheld) {
+  } else if (store_.versions_.back().revision > pending->revision && !changes_withheld) {
     result = store_.newest();
   } else if (timers_.now() < pending->end) {
     timers_.post(poll_interval, [this, pending] { poll(pending); });
     return;
   }
+  pending->era = store_.stated_era();
   timers_.post(store_.latency_ / 2, [this, pending, result] { finish(pending, result); });
 }
 
+void model_store_client::cancel_watch() {
+  for (const watch_pointer& pending : std::exchange(watches_, {})) {
+    pending->finished = true;
+  }
+}
+
 void model_store_client::finish(const watch_pointer& pending,
                                 const configuration_read_result& result) {
   if (std::exchange(pending->finished, true)) {
@@ -173,7 +209,7 @@
   if (!watches_.empty() && !watches_.front()->started) {
     start(watches_.front());
   }
-  pending->done(result);
+  deliver(pending->done, result, pending->era);
 }
 
 void model_store_client::silence_connections() {
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -27,6 +27,15 @@
   [[nodiscard]] std::uint64_t version_acknowledged_by(time_point when) const;
   [[nodiscard]] store_access access(const instance_name& instance) const;
   void set_access(const instance_name& instance, store_access access);
+  /// Returns to a copy that lacks the newest versions, up to `lost` of them, with a new era.
+  /// Watches either are interrupted or get answers as before. Returns the lost versions.
+  std::vector<std::uint64_t> go_back(std::size_t lost, bool interrupts_watches);
+  /// Writes of other objects, which raise the revision.
+  void write_others(std::uint64_t writes) { revision_ += writes; }
+  /// Whether responses state the era, as older stores do not.
+  void state_era(bool stated) { era_stated_ = stated; }
+  /// Number of calls that all processes have begun.
+  [[nodiscard]] int calls() const { return calls_; }
   /// Watches get no changes for this time; then they are interrupted and the history is discarded.
   void compact_after(duration span);
   void set_latency(duration latency) { latency_ = latency; }
@@ -38,16 +47,21 @@
 
   struct written_version {
     std::uint64_t version = 0;
+    std::uint64_t revision = 0;
     time_point acknowledged_at{};
   };
 
   [[nodiscard]] configuration_read_result newest() const;
+  [[nodiscard]] std::uint64_t stated_era() const { return era_stated_ ? era_ : 0; }
 
   virtual_timers& clock_;
   std::vector<written_version> versions_;
   std::map<instance_name, store_access> access_;
   std::uint64_t revision_ = 100;
   std::uint64_t oldest_known_revision_ = 0;
+  std::uint64_t era_ = 1;
+  bool era_stated_ = true;
+  int calls_ = 0;
   time_point silent_until_{};
   int compactions_ = 0;
   int overlapping_watches_ = 0;
@@ -64,7 +78,9 @@
   void close_idle_connections() override { call_connection_silent_ = false; }
   void watch_configuration(std::uint64_t revision, duration wait,
                            configuration_callback done) override;
+  void cancel_watch() override;
   void list_daemons(listing_callback) override {}
+  void read_daemon(const instance_name&, write_callback) override {}
   void announce_daemon(const daemon_entry&, outcome_callback) override {}
   void replace_daemon(const daemon_entry&, std::uint64_t, write_callback) override {}
   void withdraw_daemon(const instance_name&, outcome_callback) override {}
@@ -78,6 +94,9 @@
 
   void respond(const configuration_callback& done, const configuration_read_result& result,
                duration delay);
+  /// Calls back with a response of this era.
+  void deliver(const configuration_callback& done, configuration_read_result result,
+               std::uint64_t era);
   void start(const watch_pointer& pending);
   void poll(const watch_pointer& pending);
   void finish(const watch_pointer& pending, const configuration_read_result& result);
