Write again what a store that goes back has lost

Departures, crash counts and entries that the store had acknowledged before it returned from an older copy were lost: no daemon wrote them again, and they were forgotten when all daemons ended.

With a new era nothing counts as stored. Within a second, or at once while a target waits for an acknowledgement, a daemon reads the revision of its entry and writes the entry as a whole; a missing entry is created. Writes that began in an older era prove nothing. Two daemons chosen by the digest add each refused request to their entries, because the daemon that counted may be lost. peer_finder lists the entries again. Heartbeats state the era for a minute after it has changed, so a store that does not go back costs no byte and no call.

--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -40,7 +40,7 @@
       callbacks_.make_hello, std::make_shared<std::uint64_t>(0), std::make_shared<link_traffic>(),
       std::make_shared<const wire::compact_codec>(settings_.frequent_texts),
       callbacks_.configuration_version, callbacks_.configuration_digest, callbacks_.load,
-      settings_.respond_to_heartbeats,
+      callbacks_.store_era, settings_.respond_to_heartbeats,
       while_alive([this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
       }),
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -65,6 +65,8 @@
     std::function<void(const instance_name&)> peer_replaced = nullptr;
     /// Load to report in heartbeats.
     std::function<std::optional<load_report>()> load = nullptr;
+    /// Era of the platform's store to report in heartbeats.
+    std::function<std::optional<std::uint64_t>()> store_era = nullptr;
     /// Called for each message, before it is dispatched, with the version that the sender reports.
     std::function<void(const instance_name&, version_number)> version_reported;
   };
--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -107,7 +107,8 @@
 
 void peer_session::announce_version() {
   send(wire::heartbeat{++heartbeat_sequence_, shared_->configuration_digest(),
-                       shared_->load ? shared_->load() : std::nullopt});
+                       shared_->load ? shared_->load() : std::nullopt,
+                       shared_->store_era ? shared_->store_era() : std::nullopt});
 }
 
 void peer_session::link_opened() {
--- a/Source/daemon/peer_session.h
+++ b/Source/daemon/peer_session.h
@@ -37,6 +37,8 @@
     std::function<digest()> configuration_digest;
     /// Load to report in heartbeats; empty if the daemon has none to report.
     std::function<std::optional<load_report>()> load;
+    /// Era of the platform's store to report in heartbeats; empty if there is none to report.
+    std::function<std::optional<std::uint64_t>()> store_era;
     /// Whether heartbeats get a response. If not, each end relies on the heartbeats that the other
     /// end sends itself.
     bool respond_to_heartbeats;
--- a/Source/sidecar/crash_count_archive.cpp
+++ b/Source/sidecar/crash_count_archive.cpp
@@ -43,6 +43,15 @@
   update();
 }
 
+void crash_count_archive::store_era_changed(
+    const std::function<bool(const digest& request)>& is_keeper) {
+  std::vector<crash_count> kept = shared_.crashes.all();
+  std::erase_if(kept, [&](const crash_count& count) {
+    return count.crashes == 0 || !is_keeper(count.base.empty() ? count.request : count.base);
+  });
+  changed(kept);
+}
+
 void crash_count_archive::update() {
   if (entry_.restored()) {
     entry_.set_crashing_requests(refused_counts());
--- a/Source/sidecar/crash_count_archive.h
+++ b/Source/sidecar/crash_count_archive.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <vector>
 
 #include "sidecar/entry_writer.h"
@@ -22,6 +23,9 @@
   std::vector<crash_count> restore(const std::vector<daemon_entry>& entries);
   /// Counts have changed on this daemon.
   void changed(const std::vector<crash_count>& counts);
+  /// The store has gone back to an older copy. Takes over the refused requests that `is_keeper`
+  /// assigns to this daemon, because the daemon that kept them may have been lost meanwhile.
+  void store_era_changed(const std::function<bool(const digest& request)>& is_keeper);
   /// Stores the counts that have changed. Call about once a second.
   void update();
 
--- a/Source/sidecar/crash_count_exchange.h
+++ b/Source/sidecar/crash_count_exchange.h
@@ -23,6 +23,10 @@
   void changed(const std::vector<crash_count>& counts);
   /// Takes over the counts in the entries of the daemons, once after the start.
   void restore(const std::vector<daemon_entry>& entries);
+  /// The store has gone back to an older copy; see `crash_count_archive`.
+  void store_era_changed(const std::function<bool(const digest& request)>& is_keeper) {
+    archive_.store_era_changed(is_keeper);
+  }
 
  private:
   void reset_counts_of_completed();
--- a/Source/sidecar/entry_writer.cpp
+++ b/Source/sidecar/entry_writer.cpp
@@ -15,6 +15,8 @@
 constexpr duration awaited_retry_delay = std::chrono::milliseconds(150);
 /// A target waits one second for an acknowledgement and sends its message again later.
 constexpr duration departure_wait_limit = std::chrono::milliseconds(800);
+/// After the store has gone back all daemons write their entries again, spread over this time.
+constexpr duration rewrite_spread = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -31,6 +33,7 @@
       stored_ = entry;
       const auto found = listing.revisions.find(entry.name);
       revision_ = found == listing.revisions.end() ? 0 : found->second;
+      rewrite_ = false;  // The listing is of the current era.
     }
     // An entry of another name with this address is that of a predecessor on the machine.
     if (entry.endpoint == wanted_.endpoint) {
@@ -73,11 +76,11 @@
 }
 
 bool entry_writer::departures_stored() const {
-  return stored_.has_value() && stored_->departures == wanted_.departures;
+  return stored_.has_value() && !rewrite_ && stored_->departures == wanted_.departures;
 }
 
 bool entry_writer::may_store() const {
-  const bool awaited = !waiting_.empty() || !departures_stored();
+  const bool awaited = !waiting_.empty() || (!rewrite_ && !departures_stored());
   return stored_.has_value() && !storing_ && !closed_ && retry_timer_ == nullptr &&
          (awaited || shared_.loop.now() >= next_store_at_);
 }
@@ -93,13 +96,80 @@
 }
 
 void entry_writer::update() {
-  if (!may_store() || wanted_ == *stored_) {
+  if (!may_store() || (!rewrite_ && wanted_ == *stored_)) {
     return;
   }
   storing_ = true;
-  store_.replace_daemon(wanted_, revision_, [this, written = wanted_](const daemon_write& result) {
+  if (rewrite_) {
+    read_revision();
+  } else {
+    write();
+  }
+}
+
+template <typename Callback>
+auto entry_writer::in_this_era(Callback done) {
+  return [this, done = std::move(done), changes = era_changes_](const auto& result) {
     storing_ = false;
-    write_ended(written, result);
+    if (changes == era_changes_) {
+      done(result);
+    } else if (waiting_.empty()) {
+      update();
+    } else {
+      store_at_once();
+    }
+  };
+}
+
+void entry_writer::store_era_changed() {
+  ++era_changes_;
+  rewrite_ = true;
+  revision_ = 0;
+  if (waiting_.empty()) {
+    retry_after(shared_.random.up_to(rewrite_spread));
+  } else {
+    store_at_once();
+  }
+}
+
+void entry_writer::write() {
+  store_.replace_daemon(wanted_, revision_,
+                        in_this_era([this, written = wanted_](const daemon_write& result) {
+                          write_ended(written, result);
+                        }));
+}
+
+/// Learns the revision that the entry has in a new era, or creates the entry if it is missing.
+void entry_writer::read_revision() {
+  store_.read_daemon(wanted_.name,
+                     in_this_era([this](const daemon_write& result) { revision_read(result); }));
+}
+
+void entry_writer::revision_read(const daemon_write& result) {
+  if (result.outcome == store_outcome::done) {
+    revision_ = result.revision;
+    storing_ = true;
+    write();
+  } else if (result.outcome == store_outcome::not_found && !closed_) {
+    storing_ = true;
+    store_.announce_daemon(wanted_, in_this_era([this](store_outcome outcome) {
+                             if (outcome == store_outcome::done) {
+                               storing_ = true;
+                               read_revision();
+                             } else {
+                               retry_after(awaited_retry_delay);
+                             }
+                           }));
+  } else {
+    retry_after(waiting_.empty() ? retry_delay : awaited_retry_delay);
+  }
+}
+
+void entry_writer::retry_after(duration delay) {
+  next_store_at_ = shared_.loop.now() + delay;
+  retry_timer_ = shared_.loop.after(delay, [this] {
+    retry_timer_ = nullptr;
+    update();
   });
 }
 
@@ -109,6 +179,7 @@
                                     {"outcome", std::string(to_string(result.outcome))}});
   if (result.outcome == store_outcome::done) {
     stored_ = written;
+    rewrite_ = false;
     revision_ = result.revision;
     next_store_at_ = shared_.loop.now() + store_interval;
     report_stored();
@@ -121,20 +192,11 @@
     update();
     return;
   }
-  const duration delay = waiting_.empty() ? retry_delay : awaited_retry_delay;
-  next_store_at_ = shared_.loop.now() + delay;
-  const auto retry = [this] {
-    retry_timer_ = nullptr;
-    update();
-  };
+  retry_after(waiting_.empty() ? retry_delay : awaited_retry_delay);
   if (result.outcome == store_outcome::not_found && !closed_) {
     storing_ = true;
-    store_.announce_daemon(wanted_, [this](store_outcome) {
-      storing_ = false;
-      revision_ = 0;
-    });
+    store_.announce_daemon(wanted_, in_this_era([this](store_outcome) { revision_ = 0; }));
   }
-  retry_timer_ = shared_.loop.after(delay, retry);
 }
 
 void entry_writer::report_stored() {
--- a/Source/sidecar/entry_writer.h
+++ b/Source/sidecar/entry_writer.h
@@ -39,6 +39,9 @@
 
   /// Stores what has changed, unless it has to wait. Call about once a second.
   void update();
+  /// The store has gone back to an older copy: nothing counts as stored any more, and the entry is
+  /// written again as a whole.
+  void store_era_changed();
   /// Ends all writes, because the entry is about to be removed.
   void close();
 
@@ -52,6 +55,13 @@
   [[nodiscard]] bool departures_stored() const;
   [[nodiscard]] bool may_store() const;
   void store_at_once();
+  void write();
+  void read_revision();
+  void revision_read(const daemon_write& result);
+  void retry_after(duration delay);
+  /// The callback of a call, which has no effect if the era has changed meanwhile.
+  template <typename Callback>
+  auto in_this_era(Callback done);
   void write_ended(const daemon_entry& written, const daemon_write& result);
   void report_stored();
   void give_up(const waiting_pointer& waiting);
@@ -62,6 +72,9 @@
   target_departures departures_;
   std::optional<daemon_entry> stored_;  ///< Empty until the entries have been listed.
   std::uint64_t revision_ = 0;          ///< Of the entry in the store; 0 if it is not known.
+  /// The entry in the store may be older than `stored_`, and its revision is not known.
+  bool rewrite_ = false;
+  std::uint64_t era_changes_ = 0;
   bool storing_ = false;
   bool closed_ = false;
   time_point next_store_at_{};
--- a/Source/sidecar/peer_finder.cpp
+++ b/Source/sidecar/peer_finder.cpp
@@ -11,6 +11,10 @@
 /// The entries are listed again at this interval, in case a link could not be opened when an entry
 /// was first seen.
 constexpr duration relist_interval = std::chrono::seconds(30);
+/// Daemons write their entries again within a second after the store has gone back; the listings
+/// that follow are spread over another one.
+constexpr duration rewrite_time = std::chrono::milliseconds(1'500);
+constexpr duration rewrite_list_spread = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -34,7 +38,17 @@
   });
 }
 
+void peer_finder::store_era_changed() {
+  if (withdrawn_) {
+    withdraw();
+  } else if (listed_) {
+    next_call_ = shared_.loop.after(rewrite_time + shared_.random.up_to(rewrite_list_spread),
+                                    [this] { list(); });
+  }
+}
+
 void peer_finder::withdraw() {
+  withdrawn_ = true;
   store_.withdraw_daemon(shared_.self.name, [this](store_outcome outcome) {
     shared_.log.info("entry_withdrawn", {{"outcome", std::string(to_string(outcome))}});
   });
--- a/Source/sidecar/peer_finder.h
+++ b/Source/sidecar/peer_finder.h
@@ -25,6 +25,9 @@
   void start();
   /// Removes this daemon's entry from the store.
   void withdraw();
+  /// The store has gone back to an older copy: entries that were removed may be back, and others
+  /// are missing until their daemons have written them again.
+  void store_era_changed();
   /// Adds a daemon, or replaces its address.
   void introduce(const instance_name& name, const ip_endpoint& endpoint);
   /// Removes a daemon whose address is now used by another daemon.
@@ -50,6 +53,7 @@
   listing_handler first_listed_;
   std::map<instance_name, ip_endpoint> endpoints_;
   bool listed_ = false;
+  bool withdrawn_ = false;
   timer_handle next_call_;
 };
 
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/rendezvous_hash.h"
 #include "sidecar/outbound_request.h"
 
 namespace crocusdoor {
@@ -33,6 +34,14 @@
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
 
+/// After a change a daemon reports the era of the store to its peers for this long. All but those
+/// that cannot be reached have heard of it by then.
+constexpr duration era_report_time = std::chrono::minutes(1);
+
+/// Daemons that add a refused request to their entries after the store has gone back. One of them
+/// may have been lost at the same time without its peers having noticed.
+constexpr std::size_t crash_count_keepers = 2;
+
 /// Interval of the log lines about the traffic to other daemons.
 constexpr duration traffic_log_interval = std::chrono::seconds(10);
 
@@ -121,6 +130,7 @@
         }
       }});
   connect_dispatcher();
+  store_->on_new_era([this](const era_change& change) { store_era_changed(change); });
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
@@ -198,6 +208,9 @@
   callbacks.configuration_version = [this] { return configurations_->version(); };
   callbacks.configuration_digest = [] { return digest(); };
   callbacks.load = [this] { return std::optional(gateway_->work().load()); };
+  callbacks.store_era = [this] {
+    return loop_.now() < era_reported_until_ ? std::optional(store_->era()) : std::nullopt;
+  };
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
     peer_introduced(peer, greeting.self);
@@ -261,6 +274,7 @@
     if (heartbeat.load.has_value()) {
       upstreams_.load_reported(from, *heartbeat.load, loop_.now());
     }
+    store_->peer_reported_era(heartbeat.store_era.value_or(0));
   });
   configurations_->connect(dispatcher);
 }
@@ -391,6 +405,27 @@
   router_->peer_lost(peer);
 }
 
+void sidecar_daemon::store_era_changed(const era_change& change) {
+  log_.warning("store_era_changed", {{"previous", change.previous},
+                                     {"era", change.era},
+                                     {"origin", change.from_peer ? "peer" : "store"},
+                                     {"version", configurations_->version()}});
+  era_reported_until_ = loop_.now() + era_report_time;
+  configurations_->store_era_changed();
+  entry_->store_era_changed();
+  finder_->store_era_changed();
+  crash_exchange_->store_era_changed([this](const digest& request) {
+    std::vector<instance_name> daemons = mesh_->linked_peers();
+    daemons.push_back(shared_.self.name);
+    const std::vector<instance_name> keepers =
+        top_by_rendezvous(request.str(), std::move(daemons), crash_count_keepers);
+    return std::find(keepers.begin(), keepers.end(), shared_.self.name) != keepers.end();
+  });
+  if (!change.from_peer) {
+    mesh_->announce_version();
+  }
+}
+
 void sidecar_daemon::call_cancelled(const instance_name& to, wire::request_id id, bool sent) {
   counters_.count_cancellation(sent ? "sent" : "not_sent");
   if (!sent) {
@@ -443,6 +478,12 @@
   counters_
       .total("crocusdoor_crashing_requests", "Requests refused because they have crashed targets")
       .Set(static_cast<double>(crashes_.refused(loop_.now())));
+  counters_.total("crocusdoor_store_era", "Newest known era of the platform's store; 0 if unknown")
+      .Set(static_cast<double>(store_->era()));
+  counters_
+      .total("crocusdoor_store_outdated_responses",
+             "Responses of the store that were ignored because their era was over")
+      .Set(static_cast<double>(store_->outdated_responses()));
   counters_.total("crocusdoor_log_lines_dropped", "Log lines beyond the budget")
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -66,6 +66,7 @@
   bool departure_received(const wire::target_departed& content);
   void send_departures(const instance_name& peer, const instance_name& instance);
   void peer_lost(const instance_name& peer, const std::string& reason);
+  void store_era_changed(const era_change& change);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
   void configuration_adopted(const route_table_pointer& table);
@@ -108,6 +109,7 @@
   /// Departures of the target beside each instance, including this one.
   std::map<instance_name, target_departures> departures_;
   std::uint64_t record_sequence_ = 1;
+  time_point era_reported_until_{};  ///< Heartbeats state the era of the store until then.
   timer_handle traffic_log_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -53,6 +53,8 @@
   std::uint64_t sequence = 0;
   digest configuration_digest;
   std::optional<load_report> load;  ///< Load of the sender's target, if the sender reports it.
+  /// Era of the platform's store, if it has changed a short time ago.
+  std::optional<std::uint64_t> store_era;
   friend bool operator==(const heartbeat&, const heartbeat&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -32,7 +32,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("sequence", &wire::heartbeat::sequence),
                       required_field("digest", &wire::heartbeat::configuration_digest),
-                      optional_field("load", &wire::heartbeat::load));
+                      optional_field("load", &wire::heartbeat::load),
+                      optional_field("store_era", &wire::heartbeat::store_era));
 };
 
 template <>
