--- a/Source/mesh/upstream_pool.cpp
+++ b/Source/mesh/upstream_pool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/rendezvous_hash.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -40,6 +42,21 @@
 /// A load report that is older than this does not justify a refusal.
 constexpr duration report_validity = std::chrono::milliseconds(700);
 
+constexpr double permille_of_one = 1'000;
+
+bool fits(const version_rule& rule, const std::string& version) {
+  switch (rule.use) {
+    case version_rule::kind::any:
+      return true;
+    case version_rule::kind::except:
+      return version != rule.version;
+    case version_rule::kind::only:
+    case version_rule::kind::few:
+      break;
+  }
+  return version == rule.version;
+}
+
 duration from_ms(double value) {
   return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
 }
@@ -82,14 +99,33 @@
   return reported_ms + mean_ms * entry.sent_since_report / slots;
 }
 
+std::vector<instance_name> upstream_pool::few_of_version(const placement_request& request,
+                                                         time_point now) const {
+  std::vector<instance_name> fitting;
+  for (const auto& [name, entry] : upstreams_) {
+    if (entry.description.service == request.service && entry.description.takes_requests &&
+        now >= entry.description.warm_at && fits(request.versions, entry.description.version)) {
+      fitting.push_back(name);
+    }
+  }
+  const double part = request.versions.permille / permille_of_one;
+  const auto count =
+      static_cast<std::size_t>(std::ceil(static_cast<double>(fitting.size()) * part));
+  return top_by_rendezvous(request.versions.version, std::move(fitting), count);
+}
+
 std::vector<upstream_pool::candidate_upstream> upstream_pool::candidates_for(
     const placement_request& request, time_point now) const {
+  const bool only_few = request.versions.use == version_rule::kind::few;
+  const std::vector<instance_name> few =
+      only_few ? few_of_version(request, now) : std::vector<instance_name>();
   std::vector<candidate_upstream> candidates;
   double total_ms = 0;
   for (const auto& [name, entry] : upstreams_) {
     const bool usable =
         entry.description.service == request.service && entry.description.takes_requests &&
-        !entry.silent &&
+        !entry.silent && fits(request.versions, entry.description.version) &&
+        (!only_few || std::find(few.begin(), few.end(), name) != few.end()) &&
         std::find(request.tried.begin(), request.tried.end(), name) == request.tried.end();
     if (usable) {
       const double reported_ms = static_cast<double>(entry.load.service_time_us) / 1'000.0;
@@ -155,6 +191,11 @@
 placement upstream_pool::choose(const placement_request& request, time_point now,
                                 random_source& random) {
   std::vector<candidate_upstream> candidates = candidates_for(request, now);
+  if (candidates.empty() && request.versions.otherwise_any) {
+    placement_request unrestricted = request;
+    unrestricted.versions = {};
+    candidates = candidates_for(unrestricted, now);
+  }
   if (candidates.empty()) {
     return {};
   }
@@ -223,6 +264,24 @@
   sizes_.record(work_class, bytes);
 }
 
+const mesh_upstream* upstream_pool::find(const instance_name& instance) const {
+  const auto found = upstreams_.find(instance);
+  return found == upstreams_.end() ? nullptr : &found->second.description;
+}
+
+std::int32_t upstream_pool::warm_slots(const service_name& service, const std::string& version,
+                                       bool others, time_point now) const {
+  std::int32_t slots = 0;
+  for (const auto& [name, entry] : upstreams_) {
+    const mesh_upstream& upstream = entry.description;
+    if (upstream.service == service && upstream.takes_requests && !entry.silent &&
+        now >= upstream.warm_at && (upstream.version == version) != others) {
+      slots += upstream.slots;
+    }
+  }
+  return slots;
+}
+
 std::size_t upstream_pool::available(const service_name& service) const {
   return static_cast<std::size_t>(
       std::count_if(upstreams_.begin(), upstreams_.end(), [&](const auto& named_entry) {
--- a/Source/mesh/upstream_pool.h
+++ b/Source/mesh/upstream_pool.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "mesh/exchange_sizes.h"
 #include "mesh/failure_share.h"
+#include "mesh/version_rule.h"
 #include "routing/load_report.h"
 
 namespace crocusdoor {
@@ -24,6 +25,7 @@
   std::int32_t slots = 1;
   bool takes_requests = false;
   time_point warm_at{};  ///< End of the warm-up after its start.
+  std::string version;   ///< Of the target's software; empty if it is not known.
 };
 
 /// Properties of a request that decide where it is sent.
@@ -34,6 +36,7 @@
   std::vector<instance_name> tried;  ///< Upstreams that it has already been sent to.
   duration objective{0};             ///< Time after which the response is worth less.
   duration deadline{0};              ///< Time after which the response is useless.
+  version_rule versions;             ///< Which upstreams it may be sent to.
 };
 
 /// Where a request is sent. Without an instance the request is refused: no upstream takes requests,
@@ -80,6 +83,12 @@
   /// Records the size of the bodies of a request of this class and of its response, added up.
   void size_measured(const std::string& work_class, std::size_t bytes);
 
+  /// Description of an upstream; null if it is not known.
+  [[nodiscard]] const mesh_upstream* find(const instance_name& instance) const;
+  /// Slots of the upstreams of a service that take requests and have warmed up, of a version or of
+  /// all others.
+  [[nodiscard]] std::int32_t warm_slots(const service_name& service, const std::string& version,
+                                        bool others, time_point now) const;
   /// Number of upstreams of a service that take requests.
   [[nodiscard]] std::size_t available(const service_name& service) const;
 
@@ -102,6 +111,9 @@
     double cost = 0;
   };
 
+  /// The upstreams that a request may be sent to by its rule on versions, if the rule names them.
+  [[nodiscard]] std::vector<instance_name> few_of_version(const placement_request& request,
+                                                          time_point now) const;
   [[nodiscard]] std::vector<candidate_upstream> candidates_for(const placement_request& request,
                                                                time_point now) const;
   [[nodiscard]] static double expected_wait_ms(const upstream_entry& entry, std::int32_t rank);
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -313,6 +313,7 @@
   std::uint64_t requests = 0;
   std::uint64_t failures = 0;
   std::uint64_t total_time_us = 0;  ///< Of the requests that did not fail.
+  std::uint64_t slow = 0;  ///< Requests that took several times the old version's mean time.
   friend bool operator==(const version_outcomes&, const version_outcomes&) = default;
 };
 
@@ -323,6 +324,9 @@
   std::uint64_t order = 0;
   std::uint64_t sent = 0;  ///< Requests sent to the new version, finished or not.
   std::vector<version_outcomes> outcomes;
+  std::int32_t permille = 0;      ///< Share that the sender applies; 0 if its state has expired.
+  std::uint64_t running_old = 0;  ///< Requests of the sender in flight at other versions.
+  std::uint64_t running_new = 0;  ///< Requests of the sender in flight at the new version.
   friend bool operator==(const rollout_evidence&, const rollout_evidence&) = default;
 };
 
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -271,7 +271,8 @@
       required_field("work_class", &record::work_class),
       required_field("new_version", &record::new_version),
       required_field("requests", &record::requests), required_field("failures", &record::failures),
-      required_field("total_time_us", &record::total_time_us));
+      required_field("total_time_us", &record::total_time_us),
+      optional_field("slow", &record::slow));
 };
 
 template <>
@@ -281,7 +282,10 @@
       required_field("service", &record::service),
       required_field("target_version", &record::target_version),
       required_field("order", &record::order), required_field("sent", &record::sent),
-      required_field("outcomes", &record::outcomes));
+      required_field("outcomes", &record::outcomes),
+      optional_field("permille", &record::permille, {0, 1'000}),
+      optional_field("running_old", &record::running_old),
+      optional_field("running_new", &record::running_new));
 };
 
 }  // namespace crocusdoor
