Check short rollouts on the virtual clock

An order of 12 s leaves little room for the steps, and a version that fails from the last step on has the largest exposure. The model counts requests only until the deadline, as the bound does.

--- a/Tests/rollout/fleet_model.h
+++ b/Tests/rollout/fleet_model.h
@@ -45,7 +45,7 @@
   bool new_targets = true;
 
   // What the targets and the store have seen since the order.
-  std::uint64_t requests = 0;
+  std::uint64_t requests = 0;  ///< Until the deadline.
   std::uint64_t exposure = 0;
   std::uint64_t bad_responses = 0;
   std::optional<duration> fiftieth_bad;
--- a/Tests/rollout/rollout_test.cpp
+++ b/Tests/rollout/rollout_test.cpp
@@ -101,6 +101,28 @@
   }
 }
 
+TEST_CASE("an order of 12 s leaves enough time") {
+  constexpr std::chrono::milliseconds short_span = 12s;
+  const std::uint64_t seed = GENERATE(1, 2, 3, 4, 5);
+  fleet_model fleet(seed);
+  fleet.run_until(1s);
+
+  SECTION("for a good version to be completed") {
+    fleet.order(short_span);
+    fleet.run_until(short_span);
+    CHECK(fleet.status() == completed);
+  }
+  SECTION("for a version that fails from the last step on to be rolled back within the bound") {
+    fleet.new_version = [&](duration, double) {
+      return new_version_behaviour{fleet.permille() == 1'000 ? 0.4 : 0.0};
+    };
+    fleet.order(short_span);
+    fleet.run_until(short_span + 3s);
+    CHECK(static_cast<double>(fleet.exposure) <= allowed(fleet));
+    CHECK(fleet.status() == rolled_back);
+  }
+}
+
 TEST_CASE("the deciding daemon may be killed at any time") {
   const auto killed_at = GENERATE(100ms, 3'000ms, 9'000ms, 15'600ms, 16'100ms, 16'600ms);
   fleet_model fleet(7);
