Carry out rollouts in the sidecar

The first daemon by rendezvous hash watches the orders at the store, sends the share to all daemons and writes the status. Requests name the version that their sender chose; a target's daemon with another version refuses them as not run.

Without bounds.exposure_share above 0 there is no message, no call to the store and no second announcement of a target.

--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -86,6 +86,10 @@
   if (!registry_.takes_requests() || target->announcement.service != request.call.service) {
     return {target.has_value() ? "target_leaving" : "no_target"};
   }
+  if (request.call.target_version.has_value() &&
+      *request.call.target_version != target->announcement.version) {
+    return {"other_version"};
+  }
   if (shared_.crashes.empty()) {
     return {};
   }
@@ -332,13 +336,17 @@
   if (available) {
     work_.set_slots(registry_.target()->announcement.slots);
   }
-  if (available == std::exchange(takes_requests_, available)) {
+  const auto& target = registry_.target();
+  const std::string version = target.has_value() ? target->announcement.version : std::string();
+  const bool same_version = version == std::exchange(version_, version);
+  const bool rollouts = shared_.options.bounds.exposure_share > 0;
+  if (available == std::exchange(takes_requests_, available) && (same_version || !rollouts)) {
     return;
   }
-  const auto& target = registry_.target();
   shared_.log.info("target_state",
                    {{"takes_requests", available},
                     {"target", target.has_value() ? target->announcement.id : std::string()},
+                    {"version", version},
                     {"leaving", target.has_value() && target->leaving},
                     {"waiting", work_.queued()},
                     {"running", work_.slots_in_use()}});
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -93,6 +93,7 @@
   target_crash_watch crash_watch_;
   std::map<std::uint64_t, running_exchange> exchanges_;  ///< Exchanges with the target, by ticket.
   bool takes_requests_ = false;
+  std::string version_;  ///< Of the target, as reported last.
   target_departures reported_departures_;
   probe_handle end_probe_;
   time_point last_seen_at_{};  ///< Last heartbeat or response of the target.
--- a/Source/sidecar/main.cpp
+++ b/Source/sidecar/main.cpp
@@ -11,6 +11,7 @@
 
 #include "platform/contract.h"
 #include "platform/object_store.h"
+#include "platform/rollout_client.h"
 #include "sidecar/sidecar_daemon.h"
 #include "sidecar/sidecar_settings.h"
 
@@ -100,7 +101,8 @@
   try {
     crocusdoor::sidecar_daemon daemon(
         loop, options, crocusdoor::platform::make_contract(),
-        std::make_unique<crocusdoor::platform::object_store>(loop, options.store));
+        std::make_unique<crocusdoor::platform::object_store>(loop, options.store),
+        std::make_unique<crocusdoor::platform::rollout_client>(loop, options.store));
     loop.on_signal(SIGTERM, [&] { daemon.begin_stop(); });
     loop.on_signal(SIGINT, [&] { daemon.begin_stop(); });
     loop.on_signal(SIGHUP, [&] { reload(daemon, path); });
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -140,10 +140,7 @@
     return;
   }
   const time_point now = shared_.loop.now();
-  const placement choice =
-      services_.upstreams.choose({service_, call_.work_class, route_.rank, tried_,
-                                  arrived_at_ + route_.latency_objective_ms - now, deadline_ - now},
-                                 now, shared_.random);
+  const placement choice = choose_upstream(now);
   expected_duration_ = choice.expected_response_time;
   if (!choice.instance.has_value()) {
     finish_without_upstream(choice);
@@ -157,6 +154,7 @@
   call_.attempt = static_cast<std::int32_t>(tried_.size());
   const std::size_t index = attempts_.size();
   attempts_.push_back({0, instance, now});
+  choose_version(attempts_[index]);
   services_.upstreams.attempt_started(instance);
   if (!crashes_.empty()) {
     services_.send_crash_counts(instance, crashes_);
@@ -168,6 +166,36 @@
                             });
 }
 
+placement outbound_request::choose_upstream(time_point now) {
+  placement_request request{
+      service_,
+      call_.work_class,
+      route_.rank,
+      tried_,
+      arrived_at_ + route_.latency_objective_ms - now,
+      deadline_ - now,
+      services_.rollouts.rule(service_, call_.work_class, tried_.empty(), now, shared_.random)};
+  placement choice = services_.upstreams.choose(request, now, shared_.random);
+  if (!choice.instance.has_value() && request.versions.use == version_rule::kind::few) {
+    request.versions = rollout_table::old_version_rule(request.versions);
+    choice = services_.upstreams.choose(request, now, shared_.random);
+  }
+  return choice;
+}
+
+void outbound_request::choose_version(attempt& started) {
+  const mesh_upstream* upstream = services_.upstreams.find(started.instance);
+  if (upstream != nullptr) {
+    started.version = upstream->version;
+    started.comparable = started.sent_at >= upstream->warm_at;
+  }
+  call_.target_version.reset();
+  if (services_.rollouts.find(service_) != nullptr) {
+    call_.target_version = started.version;
+  }
+  services_.rollouts.attempt_started(service_, started.version);
+}
+
 bool outbound_request::refuse_crashing() {
   if (shared_.crashes.empty()) {
     return false;
@@ -214,6 +242,8 @@
     quality = attempt_quality::failed;
   }
   services_.upstreams.attempt_ended(ended.instance, quality, shared_.loop.now());
+  record_version_outcome(ended, outcome, quality == attempt_quality::refused,
+                         quality == attempt_quality::failed);
   if (outcome.response.has_value()) {
     services_.upstreams.load_reported(ended.instance, outcome.response->load, shared_.loop.now());
     if (outcome.outcome == verdict::ran && outcome.response->status < status_server_error) {
@@ -225,6 +255,25 @@
   }
 }
 
+void outbound_request::record_version_outcome(const attempt& ended, const call_outcome& outcome,
+                                              bool refused, bool failed) {
+  rollout_table& rollouts = services_.rollouts;
+  rollouts.attempt_ended(service_, ended.version);
+  const duration waited = shared_.loop.now() - ended.sent_at;
+  // The loss of a machine or a link says nothing about the version.
+  if (refused || outcome.reason == call_router::link_lost_reason) {
+    return;
+  }
+  if (finished_ && outcome.outcome != verdict::ran) {
+    rollouts.attempt_abandoned(service_, ended.version, call_.work_class,
+                               shared_.loop.now() >= deadline_, waited);
+    return;
+  }
+  const duration time = outcome.response.has_value() ? duration(outcome.response->ran_us) : waited;
+  rollouts.outcome_observed(service_, ended.version, call_.work_class, failed, time,
+                            ended.comparable);
+}
+
 void outbound_request::attempt_ended(std::size_t index, const call_outcome& outcome) {
   attempts_[index].finished = true;
   record_quality(attempts_[index], outcome);
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -24,6 +24,8 @@
     instance_name instance;
     time_point sent_at;
     bool finished = false;
+    std::string version;      ///< Of the upstream's target.
+    bool comparable = false;  ///< Whether the upstream had warmed up.
   };
 
   [[nodiscard]] bool find_route();
@@ -38,10 +40,15 @@
   void send_attempt();
   /// Ends the request if it has crashed the targets that have run it; returns whether it has ended.
   bool refuse_crashing();
+  [[nodiscard]] placement choose_upstream(time_point now);
+  /// Records the version to which the attempt is sent.
+  void choose_version(attempt& started);
   void finish_without_upstream(const placement& choice);
   /// Ends the request without a further attempt.
   void give_up(const std::string& reason, duration retry_after);
   void attempt_ended(std::size_t index, const call_outcome& outcome);
+  void record_version_outcome(const attempt& ended, const call_outcome& outcome, bool refused,
+                              bool failed);
   void record_quality(const attempt& ended, const call_outcome& outcome);
   [[nodiscard]] bool is_retryable_failure(const call_outcome& outcome) const;
   void retry_or_finish(const call_outcome& outcome);
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -43,7 +43,8 @@
 }  // namespace
 
 sidecar_daemon::sidecar_daemon(event_loop& loop, sidecar_settings options,
-                               platform_contract contract, std::unique_ptr<mesh_store> store)
+                               platform_contract contract, std::unique_ptr<mesh_store> store,
+                               std::unique_ptr<rollout_store> rollouts)
     : loop_(loop),
       options_(std::move(options)),
       contract_(std::move(contract)),
@@ -98,6 +99,15 @@
           },
           [this] { return configurations_->current(); },
           [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); }});
+  rollouts_ = std::make_unique<rollout_service>(
+      shared_, std::move(rollouts), rollout_table_, upstreams_,
+      rollout_service::handlers{
+          [this](const instance_name& to, const wire::message& content) {
+            mesh_->send(to, content);
+          },
+          [this](const wire::message& content) { mesh_->send_to_all(content); },
+          [this] { return mesh_->linked_peers(); }, [this] { return finder_->daemon_count(); },
+          [this] { return finder_->listed() && !stop_->begun(); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
       call_router::handlers{[this](const wire::call& request) {
@@ -112,7 +122,7 @@
                               call_cancelled(to, id, sent);
                             }});
   services_ = std::make_unique<outbound_services>(outbound_services{
-      shared_, *router_, upstreams_, rotation_, retries_,
+      shared_, *router_, upstreams_, rotation_, retries_, rollout_table_,
       [this] { return configurations_->current(); }, [this] { return stop_->end_of_process(); },
       [this] { return finder_->daemon_count(); },
       [this](const instance_name& to, const std::vector<crash_count>& counts) {
@@ -204,6 +214,7 @@
     // The hello of this daemon may be older than its latest change of state, which was sent only
     // over links that were established then.
     mesh_->send(peer, wire::records{{self_record()}});
+    rollouts_->peer_established(peer);
     for (const instance_name& instance : {shared_.self.name, peer}) {
       send_departures(peer, instance);
     }
@@ -263,6 +274,7 @@
     }
   });
   configurations_->connect(dispatcher);
+  rollouts_->connect(dispatcher);
 }
 
 void sidecar_daemon::start() {
@@ -274,6 +286,7 @@
   configurations_->start();
   finder_->start();
   crash_exchange_->start();
+  rollouts_->start();
   traffic_log_timer_ = loop_.every(traffic_log_interval, [this] { log_traffic(); });
   measure_loop_delay();
 }
@@ -339,7 +352,7 @@
   configurations_->set_peer(peer, {record.domain, record.state == instance_state::draining});
   upstreams_.set_upstream({peer, record.service, record.domain, record.slots,
                            record.state == instance_state::ready,
-                           loop_.now() + record.warmup_left_ms});
+                           loop_.now() + record.warmup_left_ms, record.target_version});
 }
 
 /// Restores what the entries have kept over a restart of all daemons. A daemon that the store turns
@@ -406,7 +419,8 @@
     start_.reached(start_phase::target_known);
   }
   upstreams_.set_upstream({self.name, self.service, self.domain, self.slots,
-                           self.state == instance_state::ready, loop_.now() + self.warmup_left_ms});
+                           self.state == instance_state::ready, loop_.now() + self.warmup_left_ms,
+                           self.target_version});
   mesh_->send_to_all(wire::records{{self}});
 }
 
@@ -447,6 +461,7 @@
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
+  rollouts_->update_metrics();
   counters_.set_link_traffic(mesh_->traffic());
   counters_
       .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -12,6 +12,7 @@
 #include "sidecar/peer_finder.h"
 #include "sidecar/planned_stop.h"
 #include "sidecar/registration_server.h"
+#include "sidecar/rollout_service.h"
 #include "sidecar/sidecar_context.h"
 #include "sidecar/suspicion_api.h"
 #include "transport/http_server.h"
@@ -23,7 +24,8 @@
  public:
   /// Throws std::runtime_error if an address cannot be bound.
   sidecar_daemon(event_loop& loop, sidecar_settings options, platform_contract contract,
-                 std::unique_ptr<mesh_store> store);
+                 std::unique_ptr<mesh_store> store,
+                 std::unique_ptr<rollout_store> rollouts = nullptr);
   ~sidecar_daemon();
   sidecar_daemon(const sidecar_daemon&) = delete;
   sidecar_daemon& operator=(const sidecar_daemon&) = delete;
@@ -52,6 +54,8 @@
   }
   /// Whether this daemon waits for changes at the store and forwards them.
   [[nodiscard]] bool is_watcher() const { return configurations_->is_watcher(); }
+  /// Whether this daemon decides on the rollouts.
+  [[nodiscard]] bool decides_rollouts() const { return rollouts_->decides(); }
   [[nodiscard]] const ip_endpoint& peer_endpoint() const { return options_.listen.peers; }
 
  private:
@@ -94,6 +98,8 @@
   std::unique_ptr<peer_finder> finder_;
   std::unique_ptr<configuration_exchange> configurations_;
   std::unique_ptr<inbound_gateway> gateway_;
+  rollout_table rollout_table_;
+  std::unique_ptr<rollout_service> rollouts_;
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
