--- a/Source/rollout/version_comparison.cpp
+++ b/Source/rollout/version_comparison.cpp
@@ -94,10 +94,10 @@
     }
     old_requests += pair.old_version.requests;
     all += pair.new_version;
+    const std::uint64_t usual = pair.old_version.requests;
     const auto share = static_cast<double>(pair.new_version.requests);
     const auto scaled = [&](std::uint64_t count) {
-      return static_cast<std::uint64_t>(
-          std::ceil(share * upper_rate(count, pair.old_version.requests)));
+      return static_cast<std::uint64_t>(std::ceil(share * upper_rate(count, usual)));
     };
     expected.failures += scaled(pair.old_version.failures);
     expected.slow += scaled(pair.old_version.slow);
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -201,7 +201,8 @@
   daemon = nullptr;
   daemon = std::make_unique<sidecar_daemon>(
       loop_, options_, platform::make_contract(),
-      std::make_unique<test_store>(loop_, contents_, instance_name(name)));
+      std::make_unique<test_store>(loop_, contents_, instance_name(name)),
+      std::make_unique<test_rollout_store>(loop_, contents_));
 }
 
 void test_instance::announce(const std::string& state) {
@@ -216,7 +217,7 @@
   const json heartbeat = {{"service", service},
                           {"address", "127.0.0.1:" + std::to_string(options_.target.endpoint.port)},
                           {"zone", "a"},
-                          {"version", "v1"},
+                          {"version", version},
                           {"capacity", 4},
                           {"state", state},
                           {"warmupLeftMs", 0},
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "platform/contract.h"
+#include "rollout_test_store.h"
 #include "sidecar/sidecar_daemon.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -27,6 +28,9 @@
   std::string document;
   std::map<instance_name, daemon_entry> daemons;
   std::map<instance_name, std::uint64_t> daemon_revisions;
+  std::optional<rollout_order> rollout;
+  std::uint64_t status_writes = 0;
+  int waiting_rollout_watches = 0;
 };
 
 /// A client of the store of a test. A watch responds at the end of its wait or within 10 ms after a
@@ -90,6 +94,13 @@
   void crash_target_keeping_its_address_open();
   /// Starts the target again at the same address after a crash. Its heartbeats state a later start.
   void restart_target();
+  /// Version of the target's software in its heartbeats.
+  std::string version = "v1";
+  /// Allows rollouts; the daemon must be restarted for this to take effect.
+  void allow_rollouts(double exposure_share, double exposure_slack) {
+    options_.bounds.exposure_share = exposure_share;
+    options_.bounds.exposure_slack = exposure_slack;
+  }
   [[nodiscard]] std::uint16_t callers_port() const { return options_.listen.callers.port; }
 
   [[nodiscard]] const ip_endpoint& metrics_endpoint() const { return options_.listen.metrics; }
