Use an upstream only after its daemon has told of its rollouts

A daemon that has just started could send to a target over a new link before it had read the rollouts that the peer sends next. With rollouts, a peer's target is used from the record on that follows them.

"a good version gets all requests before the deadline" fails in its section on a daemon that has just started, before this change and after it: one request reaches the old version just after the store has the status.

--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -211,10 +211,11 @@
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
     peer_introduced(peer, greeting.self);
+    // Before the record below, from which on the peer sends requests here.
+    rollouts_->peer_established(peer);
     // The hello of this daemon may be older than its latest change of state, which was sent only
     // over links that were established then.
     mesh_->send(peer, wire::records{{self_record()}});
-    rollouts_->peer_established(peer);
     for (const instance_name& instance : {shared_.self.name, peer}) {
       send_departures(peer, instance);
     }
@@ -337,7 +338,14 @@
   if (finder_->listed() && links + 1 >= finder_->daemon_count()) {
     start_.reached(start_phase::all_links);
   }
-  record_received(peer, record);
+  instance_record introduced = record;
+  if (options_.bounds.exposure_share > 0 && record.state == instance_state::ready &&
+      upstreams_.find(peer) == nullptr) {
+    // The peer's rollouts follow, and then its record again: no request may go to its target
+    // without knowing them.
+    introduced.state = instance_state::starting;
+  }
+  record_received(peer, introduced);
   gateway_->work().peer_established(peer, record.incarnation);
 }
 
