Refuse keys while the configuration is not proved recent

A daemon that is cut off kept admitting keys that newer versions had removed, and denied keys that only newer versions have.

mesh/freshness keeps when the current version was last proved to be the newest one, by reads and watches of the store and by answers of peers, on a clock that counts suspension. With fail_closed, keys are refused with 503 once the proof is older than revocation_ms less 300 ms. A key is denied only with a proof below 1 s; otherwise the request is held for at most 400 ms while a peer and the store are asked.

The model of configurations has workspaces, a store that is restored from an older copy, and checks at each step that no removed key is admitted after 5 s.

The whole sidecar suite has not been run on this commit yet.

--- a/Source/mesh/route_table.h
+++ b/Source/mesh/route_table.h
@@ -16,8 +16,6 @@
  public:
   /// `key_seed` is the seed of the hash by which API keys are looked up.
   explicit route_table(mesh_configuration content, std::uint64_t key_seed = 0);
-  route_table(const route_table&) = delete;
-  route_table& operator=(const route_table&) = delete;
 
   [[nodiscard]] std::uint64_t version() const noexcept { return content_.version; }
   [[nodiscard]] const mesh_configuration& content() const noexcept { return content_; }
--- a/Source/sidecar/configuration_exchange.cpp
+++ b/Source/sidecar/configuration_exchange.cpp
@@ -10,15 +10,29 @@
                                                handlers callbacks)
     : group_(std::move(group)),
       callbacks_(std::move(callbacks)),
+      freshness_(shared.timers, shared.random, shared.log, shared.freshness, group_,
+                 {[clock = shared] { return clock.proof_time(); },
+                  [this](const instance_name& peer, const wire::message& content) {
+                    callbacks_.send(peer, wire::shared_message(content));
+                  },
+                  [this] { follower_.read(); }}),
       follower_(shared, store,
-                {callbacks_.adopted, [this] { return group_.total_watchers(); },
-                 [this] { return group_.is_watcher(); },
+                {[this](const route_table_pointer& table) {
+                   callbacks_.adopted(table);
+                   freshness_.configuration_adopted(*table);
+                 },
+                 [this] { return group_.total_watchers(); }, [this] { return group_.is_watcher(); },
                  [this](const instance_name& peer) {
                    callbacks_.send(peer, wire::shared_message(wire::whole_configuration_request{}));
                  },
-                 [this](const configuration_change* change) { distribute(change); }}) {}
+                 [this](const configuration_change* change) { distribute(change); },
+                 [this](std::uint64_t version, time_point at) {
+                   freshness_.proved_by_store(version, at);
+                 },
+                 [this] { return freshness_.enabled(); }}) {}
 
 void configuration_exchange::connect(message_dispatcher& dispatcher) {
+  freshness_.connect(dispatcher);
   dispatcher.on<wire::whole_configuration_request>([this](const instance_name& from, const auto&) {
     if (current() != nullptr) {
       callbacks_.send(from, configuration_message());
@@ -53,6 +67,7 @@
 }
 
 void configuration_exchange::version_seen(const instance_name& peer, std::uint64_t version) {
+  freshness_.version_reported(peer, version);
   // Every message of a peer contains its version, which nearly always is the current one here.
   if (version <= this->version()) {
     return;
--- a/Source/sidecar/configuration_exchange.h
+++ b/Source/sidecar/configuration_exchange.h
@@ -5,6 +5,7 @@
 #include "daemon/message_dispatcher.h"
 #include "mesh/watcher_group.h"
 #include "sidecar/configuration_follower.h"
+#include "sidecar/freshness_exchange.h"
 #include "wire/shared_message.h"
 
 namespace crocusdoor {
@@ -40,6 +41,8 @@
   [[nodiscard]] const route_table_pointer& current() const noexcept { return follower_.current(); }
   [[nodiscard]] std::uint64_t version() const noexcept { return follower_.version(); }
   [[nodiscard]] bool is_watcher() const { return group_.is_watcher(); }
+  /// Proofs that the current version is the newest one.
+  [[nodiscard]] freshness_exchange& freshness() noexcept { return freshness_; }
 
  private:
   void distribute(const configuration_change* change) const;
@@ -47,6 +50,7 @@
 
   watcher_group group_;
   handlers callbacks_;
+  freshness_exchange freshness_;
   configuration_follower follower_;
   /// Message with the current configuration for peers that request it, and its version.
   std::optional<wire::shared_message> message_;
--- a/Source/sidecar/configuration_follower.cpp
+++ b/Source/sidecar/configuration_follower.cpp
@@ -17,6 +17,9 @@
 constexpr duration fleet_watch_spacing = std::chrono::milliseconds(400);
 constexpr duration minimum_watch_duration = std::chrono::milliseconds(2'500);
 constexpr duration maximum_watch_duration = std::chrono::seconds(20);
+/// The same where proofs of the configuration are needed: few watchers wait for a shorter time.
+constexpr duration proof_watch_spacing = std::chrono::milliseconds(500);
+constexpr duration minimum_proof_watch_duration = std::chrono::seconds(1);
 /// A daemon that is not a watcher reads from the store at about this interval, in case it has
 /// missed a change.
 constexpr duration check_interval = std::chrono::seconds(20);
@@ -44,7 +47,10 @@
   read_scheduled_ = false;
   next_call_ = nullptr;
   store_.read_configuration(
-      [this](const configuration_read_result& result) { read_ended(result); });
+      [this, sent = shared_.proof_time()](const configuration_read_result& result) {
+        report_proof(result, sent, duration::zero());
+        read_ended(result);
+      });
 }
 
 void configuration_follower::read_ended(const configuration_read_result& result) {
@@ -64,8 +70,11 @@
 
 duration configuration_follower::watch_duration() const {
   const auto watchers = static_cast<duration::rep>(callbacks_.watcher_count());
-  const duration wait =
+  duration wait =
       std::clamp(fleet_watch_spacing * watchers, minimum_watch_duration, maximum_watch_duration);
+  if (callbacks_.needs_proofs()) {
+    wait = std::min(wait, std::max(proof_watch_spacing * watchers, minimum_proof_watch_duration));
+  }
   return wait / 2 + shared_.random.up_to(wait / 2);
 }
 
@@ -90,9 +99,13 @@
 
 void configuration_follower::watch() {
   watch_outstanding_ = true;
+  const duration wait = watch_duration();
   store_.watch_configuration(
-      revision_, watch_duration(),
-      [this](const configuration_read_result& result) { watch_ended(result); });
+      revision_, wait,
+      [this, wait, sent = shared_.proof_time()](const configuration_read_result& result) {
+        report_proof(result, sent, wait);
+        watch_ended(result);
+      });
 }
 
 void configuration_follower::watch_ended(const configuration_read_result& result) {
@@ -119,6 +132,25 @@
   }
 }
 
+void configuration_follower::report_proof(const configuration_read_result& result, time_point sent,
+                                          duration wait) {
+  if (!result.problem.empty()) {
+    stored_version_.reset();
+  }
+  if (result.outcome != store_outcome::done || !result.problem.empty()) {
+    return;
+  }
+  time_point at = sent;
+  if (result.configuration.has_value()) {
+    stored_version_ = result.configuration->version;
+  } else if (shared_.proof_time() - sent >= wait) {
+    at += wait;
+  }
+  if (stored_version_.has_value()) {
+    callbacks_.proved(*stored_version_, at);
+  }
+}
+
 void configuration_follower::log_problem(const configuration_read_result& result) {
   if (!result.problem.empty()) {
     shared_.log.error("configuration_unreadable", {{"peer", "store"}, {"reason", result.problem}});
--- a/Source/sidecar/configuration_follower.h
+++ b/Source/sidecar/configuration_follower.h
@@ -8,6 +8,7 @@
 #include "core/random_source.h"
 #include "daemon/metrics.h"
 #include "mesh/configuration_change.h"
+#include "mesh/freshness.h"
 #include "mesh/route_table.h"
 #include "mesh/version_catch_up.h"
 #include "sidecar/decision_log.h"
@@ -24,6 +25,11 @@
   metrics& counters;
   /// Secret seed of the hash by which API keys are looked up.
   std::uint64_t key_seed = 0;
+  freshness_limits freshness{};
+  /// Reads the clock of the ages of proofs, which counts suspension.
+  std::function<time_point()> proof_clock = nullptr;
+
+  [[nodiscard]] time_point proof_time() const { return proof_clock ? proof_clock() : timers.now(); }
 };
 
 /// Keeps the newest configuration that this daemon has received. Within one process the version
@@ -44,6 +50,10 @@
     std::function<void(const instance_name&)> request_configuration;
     /// The store has returned a new version; null if it is the first configuration of this process.
     std::function<void(const configuration_change*)> distribute;
+    /// The store held this version as its newest one at this time of the proof clock.
+    std::function<void(std::uint64_t version, time_point at)> proved;
+    /// Whether proofs are needed, so that watches must not wait for long.
+    std::function<bool()> needs_proofs;
   };
 
   configuration_follower(const configuration_context& shared, mesh_store& store,
@@ -51,6 +61,8 @@
 
   void start();
   /// The current configuration; null before the first one.
+  /// Reads from the store, unless a read is outstanding.
+  void read();
   [[nodiscard]] const route_table_pointer& current() const noexcept { return current_; }
   [[nodiscard]] std::uint64_t version() const noexcept {
     return current_ == nullptr ? 0 : current_->version();
@@ -67,10 +79,11 @@
   void change_received(const instance_name& peer, const configuration_change& change);
 
  private:
-  void read();
   void watch();
   void read_ended(const configuration_read_result& result);
   void log_problem(const configuration_read_result& result);
+  /// Reports what the response to a call proves. `sent` is the time at which the call was sent.
+  void report_proof(const configuration_read_result& result, time_point sent, duration wait);
   void watch_ended(const configuration_read_result& result);
   void call_failed(store_outcome outcome);
   void call_succeeded(const configuration_read_result& result);
@@ -86,6 +99,7 @@
   handlers callbacks_;
   route_table_pointer current_;
   std::uint64_t revision_ = 0;
+  std::optional<std::uint64_t> stored_version_;  ///< That the store has shown last, if readable.
   int failures_ = 0;
   bool read_outstanding_ = false;
   bool watch_outstanding_ = false;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -31,6 +31,8 @@
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
 constexpr duration minimum_retry_after = std::chrono::milliseconds(50);
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds(500);
+/// A request whose key only a newer configuration can have waits for this long for an answer.
+constexpr duration hold_limit = std::chrono::milliseconds(400);
 /// Usual time until a proof of the configuration is renewed.
 constexpr duration unproven_retry_after = std::chrono::milliseconds(500);
 
@@ -91,6 +93,10 @@
 void outbound_request::check_key() {
   const key_check result =
       crocusdoor::check_key(*configuration_, route_, authorization(), services_.proof());
+  if (result.decision == key_decision::unsettled && hold_for_proof()) {
+    return;
+  }
+  hold_timer_ = nullptr;
   if (result.decision != key_decision::admitted) {
     refuse_key(result.decision);
     return;
@@ -101,6 +107,24 @@
   check_quota();
 }
 
+bool outbound_request::hold_for_proof() {
+  const time_point now = shared_.loop.now();
+  if (!held_until_.has_value()) {
+    held_until_ = now + hold_limit;
+    hold_timer_ = shared_.loop.after(hold_limit, [weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self != nullptr && !self->finished_) {
+        self->refuse_key(key_decision::unsettled);
+      }
+    });
+  }
+  // The route is looked up again, because a newer version may have opened it.
+  return now < *held_until_ && services_.await_proof([self = shared_from_this()] {
+    if (!self->finished_ && self->find_route()) {
+      self->check_key();
+    }
+  });
+}
+
 void outbound_request::refuse_key(key_decision decision) {
   const std::optional<std::string_view> key = bearer_key(authorization());
   const bool denied = decision == key_decision::denied;
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -31,6 +31,9 @@
   void check_key();
   /// Ends a request whose key does not allow it to run, or may not do so any more.
   void refuse_key(key_decision decision);
+  /// Holds the request for a short time until it is known whether a newer version admits it.
+  /// Returns whether the request is held.
+  bool hold_for_proof();
   [[nodiscard]] const std::string& authorization() const;
   /// Counts the request against the quota of its workspace, then continues with `begin`.
   void check_quota();
@@ -85,7 +88,9 @@
   /// Expected time until the response of the upstream chosen last.
   duration expected_duration_{0};
   bool finished_ = false;
+  std::optional<time_point> held_until_;
   timer_handle deadline_timer_;
+  timer_handle hold_timer_;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -30,6 +30,9 @@
   std::function<void(const instance_name&, const std::vector<crash_count>&)> send_crash_counts;
   /// What is proved about the current configuration now.
   std::function<configuration_proof()> proof;
+  /// Asks for a newer proof and calls the action once when the proof or the configuration has
+  /// changed. Returns false if too many requests wait already.
+  std::function<bool(std::function<void()>)> await_proof;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -34,6 +34,10 @@
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
 
+/// Part of the bound on revocation that is left for the transit of a request and for differences
+/// between the rates of clocks.
+constexpr std::chrono::milliseconds revocation_margin{300};
+
 /// Interval of the log lines about the traffic to other daemons.
 constexpr duration traffic_log_interval = std::chrono::seconds(10);
 
@@ -41,6 +45,14 @@
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
 
+freshness_limits proof_limits(const sidecar_bounds& bounds) {
+  freshness_limits limits;
+  if (bounds.fail_closed) {
+    limits.admission = bounds.revocation_ms - revocation_margin;
+  }
+  return limits;
+}
+
 /// A random number that, other than `random_source`, cannot be derived from what a process sends.
 std::uint64_t secret_seed() {
   std::random_device device;
@@ -74,8 +86,10 @@
   finder_ = std::make_unique<peer_finder>(
       shared_, *store_, *mesh_, [this](const daemon_listing& listing) { entries_listed(listing); });
   configurations_ = std::make_unique<configuration_exchange>(
-      configuration_context{loop_, random_, log_, counters_, secret_seed()}, *store_,
-      watcher_group(options_.instance.name, options_.instance.domain),
+      configuration_context{loop_, random_, log_, counters_, secret_seed(),
+                            proof_limits(options_.bounds),
+                            [] { return time_point(event_loop::since_boot()); }},
+      *store_, watcher_group(options_.instance.name, options_.instance.domain),
       configuration_exchange::handlers{
           [this](const route_table_pointer& table) { configuration_adopted(table); },
           [this](const instance_name& peer, const wire::shared_message& content) {
@@ -128,7 +142,10 @@
           mesh_->send(to, wire::suspicions{{}, counts});
         }
       },
-      [] { return configuration_proof{}; }});
+      [this] { return configurations_->freshness().proof(); },
+      [this](std::function<void()> action) {
+        return configurations_->freshness().await_change(std::move(action));
+      }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
       loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
@@ -456,6 +473,13 @@
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
+  if (configurations_->freshness().enabled()) {
+    const std::optional<duration> age = configurations_->freshness().age();
+    counters_
+        .total("crocusdoor_configuration_proof_age_seconds",
+               "Time since the configuration was proved to be the newest one; -1 without a proof")
+        .Set(age.has_value() ? std::chrono::duration<double>(*age).count() : -1);
+  }
   counters_.set_link_traffic(mesh_->traffic());
   counters_
       .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -43,6 +43,10 @@
   [[nodiscard]] bool ready() const;
   /// 0 before the first configuration.
   [[nodiscard]] std::uint64_t configuration_version() const { return configurations_->version(); }
+  /// Whether requests with the API keys of the configuration run.
+  [[nodiscard]] bool proves_configuration() const {
+    return configurations_->freshness().proof().admits;
+  }
   /// Upstreams of a service that take requests, as this daemon knows them.
   [[nodiscard]] std::size_t available_upstreams(const service_name& service) const {
     return upstreams_.available(service);
--- a/Tests/sidecar/api_key_test.cpp
+++ b/Tests/sidecar/api_key_test.cpp
@@ -135,4 +135,46 @@
   CHECK(log.find("green-key") == std::string::npos);
 }
 
+TEST_CASE("a daemon that cannot prove its configuration refuses keys", "[sidecar]") {
+  mesh_fixture mesh;
+  test_instance& origin = mesh.add("origin", "other");
+  test_instance& target = mesh.add("target", "s");
+  for (const auto& instance : mesh.instances) {
+    instance->restart_daemon_with([](sidecar_settings& options) {
+      options.bounds.fail_closed = true;
+      options.bounds.revocation_ms = std::chrono::milliseconds(2'000);
+    });
+  }
+  mesh.workspaces = {workspace("green", {"green-key-1"})};
+  mesh.configure(1, "s");
+  mesh.start();
+  const auto status = [&](const std::string& key) {
+    return mesh.call(origin, "GET", "/safe/", "", with_key(key)).response.status;
+  };
+  REQUIRE(mesh.run_until([&] { return origin.daemon->proves_configuration(); }));
+
+  SECTION("an unknown key is denied after the store or a peer has been asked") {
+    CHECK(status("green-key-2") == 401);
+  }
+  SECTION("a request whose key only the store has waits until it is read") {
+    mesh.store.reachable = false;
+    mesh.run_for(std::chrono::milliseconds(1'200), [] { return false; });
+    mesh.workspaces = {workspace("green", {"green-key-1", "green-key-2"})};
+    mesh.configure(2, "s");
+    mesh.store.reachable = true;
+    CHECK(status("green-key-2") == 200);
+  }
+  SECTION("while the store answers nobody") {
+    mesh.store.reachable = false;
+    CHECK(status("green-key-1") == 200);
+    REQUIRE(mesh.run_until([&] { return !origin.daemon->proves_configuration(); }));
+    const http_result refused = mesh.call(origin, "GET", "/safe/", "", with_key("green-key-1"));
+    CHECK(refused.response.status == 503);
+    CHECK(refused.response.headers.contains("Retry-After"));
+    CHECK(status("green-key-2") == 503);
+    CHECK(mesh.call(origin, "GET", "/open/").response.status == 200);
+    CHECK(target.received.size() == 2);
+  }
+}
+
 }  // namespace crocusdoor
--- a/Tests/sidecar/configuration_model.cpp
+++ b/Tests/sidecar/configuration_model.cpp
@@ -16,6 +16,9 @@
 /// Limit on the time from the acknowledgement of a version by the store until it is current.
 constexpr duration adoption_limit = seconds(2);
 constexpr duration extra_limit_without_history = seconds(5);
+/// Limit on the time from the acknowledgement of a version by the store until no key that it
+/// removes is admitted any more.
+constexpr duration revocation_limit = seconds(5);
 constexpr duration heartbeat_interval = milliseconds(250);
 constexpr duration silence_limit = milliseconds(800);
 constexpr duration link_check_interval = milliseconds(50);
@@ -30,8 +33,13 @@
 
 }  // namespace
 
-configuration_model::configuration_model(std::uint64_t seed) : random_(seed) {
-  const std::size_t per_domain = 3 + random_.index(3);
+configuration_model::configuration_model(std::uint64_t seed, fleet_options options)
+    : random_(seed) {
+  const std::size_t random_size = 3 + random_.index(3);
+  const std::size_t per_domain = options.per_domain == 0 ? random_size : options.per_domain;
+  if (options.workspaces) {
+    store_.use_workspaces();
+  }
   for (std::size_t domain = 0; domain < domain_count; ++domain) {
     for (std::size_t number = 0; number < per_domain; ++number) {
       add_instance(domain, number);
@@ -291,6 +299,17 @@
   timers_.post(span, [this] { store_.set_latency(milliseconds(4)); });
 }
 
+void configuration_model::restore_older_copy(duration span) {
+  faults_.emplace_back("the store is restored from an older copy");
+  store_.restore_older_copy();
+  timers_.post(span, [this] { store_.write(version_); });
+}
+
+std::size_t configuration_model::admitting() const {
+  return static_cast<std::size_t>(std::count_if(
+      processes_.begin(), processes_.end(), [](const auto& process) { return process->admits(); }));
+}
+
 std::vector<std::size_t> configuration_model::domain(std::size_t index) const {
   std::vector<std::size_t> found;
   for (std::size_t instance = 0; instance < size(); ++instance) {
@@ -421,8 +440,19 @@
   return false;
 }
 
+void configuration_model::check_keys() {
+  const std::uint64_t required = store_.version_acknowledged_by(timers_.now() - revocation_limit);
+  for (const auto& process : processes_) {
+    if (!revoked_.has_value() && process->admits() && process->version() < required) {
+      revoked_ =
+          late_version{process->name(), process->version(), required, timers_.now() - time_point{}};
+    }
+  }
+}
+
 void configuration_model::check() {
   const time_point now = timers_.now();
+  check_keys();
   for (std::size_t i = 0; i < size(); ++i) {
     if (!can_receive_versions(i)) {
       disturb(i, duration::zero());
--- a/Tests/sidecar/configuration_model.h
+++ b/Tests/sidecar/configuration_model.h
@@ -22,6 +22,12 @@
   duration seen_at{0};  ///< Since the start of the run.
 };
 
+/// Size and configuration of a fleet.
+struct fleet_options {
+  std::size_t per_domain = 0;  ///< Instances in each failure domain; 0 for a random number.
+  bool workspaces = false;
+};
+
 /// A fleet in three failure domains with a store and links, on a virtual clock. The decisions are
 /// made by the production code that follows and distributes configurations; store, links and
 /// processes fail as the test specifies.
@@ -30,10 +36,13 @@
 /// the store is not slow, and new versions can reach the instance from the store or over links from
 /// other instances. A connected instance must adopt each version within two seconds after the store
 /// has acknowledged it, or within seven seconds while the store loses its history.
+///
+/// With workspaces each version has other keys. No instance may admit the keys of a version later
+/// than five seconds after the store has acknowledged the next one, whatever fails.
 class configuration_model {
  public:
   /// Starts the fleet with a first version and runs until all instances are connected.
-  explicit configuration_model(std::uint64_t seed);
+  explicit configuration_model(std::uint64_t seed, fleet_options options = {});
   ~configuration_model();
   configuration_model(const configuration_model&) = delete;
   configuration_model& operator=(const configuration_model&) = delete;
@@ -60,7 +69,14 @@
   /// The store reports no changes for `silent_time` and then discards its history.
   void forget_history(duration silent_time);
   void slow_store(duration span);
+  /// The store loses its newest version. Its operator writes it again after `span`.
+  void restore_older_copy(duration span);
 
+  /// The first instance that admitted a removed key too late, if any.
+  [[nodiscard]] const std::optional<late_version>& revoked() const { return revoked_; }
+  /// Number of instances that admit the keys of their version.
+  [[nodiscard]] std::size_t admitting() const;
+  [[nodiscard]] int store_calls() const { return store_.calls(); }
   [[nodiscard]] std::size_t size() const { return processes_.size(); }
   [[nodiscard]] model_process& at(std::size_t instance) { return *processes_.at(instance); }
   /// Positions of the instances in the failure domain with this index.
@@ -101,6 +117,7 @@
   [[nodiscard]] std::vector<std::size_t> some_instances(std::size_t count);
   [[nodiscard]] duration random_duration(duration minimum, duration maximum);
   void check();
+  void check_keys();
 
   random_source random_;
   virtual_timers timers_;
@@ -115,6 +132,7 @@
   std::uint64_t version_ = 0;
   std::vector<timer_handle> periodic_;
   std::optional<late_version> late_;
+  std::optional<late_version> revoked_;
   std::vector<std::string> faults_;
 };
 
--- a/Tests/sidecar/model_process.cpp
+++ b/Tests/sidecar/model_process.cpp
@@ -26,8 +26,9 @@
   store_client_ = std::make_unique<model_store_client>(environment_.store, *timers_, name_);
   dispatcher_ = std::make_unique<message_dispatcher>();
   exchange_ = std::make_unique<configuration_exchange>(
-      configuration_context{*timers_, random_, *log_, counters_}, *store_client_,
-      watcher_group(name_, domain_),
+      configuration_context{
+          *timers_, random_, *log_, counters_, 0, {admission_limit, std::chrono::seconds(1)}},
+      *store_client_, watcher_group(name_, domain_),
       configuration_exchange::handlers{[this](const route_table_pointer& table) {
                                          highest_version_ =
                                              std::max(highest_version_, table->version());
--- a/Tests/sidecar/model_process.h
+++ b/Tests/sidecar/model_process.h
@@ -12,6 +12,9 @@
 
 namespace crocusdoor {
 
+/// Age of a proof up to which requests with keys are admitted.
+inline constexpr duration admission_limit = std::chrono::milliseconds(4'700);
+
 /// The part of one daemon that concerns configurations, over its restarts.
 class model_process {
  public:
@@ -43,6 +46,10 @@
   /// Newest version that has been current since the start.
   [[nodiscard]] std::uint64_t highest_version() const { return highest_version_; }
   [[nodiscard]] configuration_exchange& exchange() { return *exchange_; }
+  /// Whether requests with the keys of the current version would run.
+  [[nodiscard]] bool admits() const {
+    return running() && version() > 0 && exchange_->freshness().proof().admits;
+  }
   [[nodiscard]] int starts() const { return starts_; }
 
   bool stopping = false;
--- a/Tests/sidecar/model_store.cpp
+++ b/Tests/sidecar/model_store.cpp
@@ -20,7 +20,7 @@
 }
 
 /// A configuration whose route changes with each version.
-mesh_configuration content_of(std::uint64_t version) {
+mesh_configuration content_of(std::uint64_t version, bool workspaces) {
   mesh_route route;
   route.name = route_name("r");
   route.host = "h";
@@ -29,6 +29,9 @@
   mesh_configuration content;
   content.version = version;
   content.routes = {route};
+  if (workspaces) {
+    content.workspaces = {{workspace_name("w"), {"key-" + std::to_string(version)}, 0, 0, 0}};
+  }
   return content;
 }
 
@@ -37,6 +40,12 @@
 void model_store::write(std::uint64_t version) {
   ++revision_;
   versions_.push_back({version, clock_.now()});
+  newest_lost_ = false;
+}
+
+void model_store::restore_older_copy() {
+  ++revision_;
+  newest_lost_ = true;
 }
 
 std::uint64_t model_store::version_acknowledged_by(time_point when) const {
@@ -71,7 +80,8 @@
   result.outcome = versions_.empty() ? store_outcome::not_found : store_outcome::done;
   result.revision = revision_;
   if (!versions_.empty()) {
-    result.configuration = content_of(versions_.back().version);
+    const std::size_t position = versions_.size() - (newest_lost_ ? 2 : 1);
+    result.configuration = content_of(versions_.at(position).version, workspaces_);
   }
   return result;
 }
@@ -92,6 +102,7 @@
 }
 
 void model_store_client::read_configuration(configuration_callback done) {
+  ++store_.calls_;
   const store_access access = store_.access(self_);
   const bool reused = timers_.now() - last_call_at_ < idle_limit;
   last_call_at_ = timers_.now();
@@ -111,6 +122,7 @@
 
 void model_store_client::watch_configuration(std::uint64_t revision, duration wait,
                                              configuration_callback done) {
+  ++store_.calls_;
   const auto pending = std::make_shared<watch>();
   pending->revision = revision;
   pending->end = timers_.now() + wait;
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -23,6 +23,10 @@
   explicit model_store(virtual_timers& clock) : clock_(clock) {}
 
   void write(std::uint64_t version);
+  /// The store has lost its newest version, which it had acknowledged, until the next write.
+  void restore_older_copy();
+  /// Configurations have workspaces from now on.
+  void use_workspaces() { workspaces_ = true; }
   /// Newest version acknowledged until `when`; 0 if there is none.
   [[nodiscard]] std::uint64_t version_acknowledged_by(time_point when) const;
   [[nodiscard]] store_access access(const instance_name& instance) const;
@@ -32,6 +36,8 @@
   void set_latency(duration latency) { latency_ = latency; }
   /// Number of watches that a process began while it had another watch.
   [[nodiscard]] int overlapping_watches() const { return overlapping_watches_; }
+  /// Number of reads and watches that processes have begun.
+  [[nodiscard]] int calls() const { return calls_; }
 
  private:
   friend class model_store_client;
@@ -51,6 +57,9 @@
   time_point silent_until_{};
   int compactions_ = 0;
   int overlapping_watches_ = 0;
+  int calls_ = 0;
+  bool workspaces_ = false;
+  bool newest_lost_ = false;
   duration latency_ = std::chrono::milliseconds(4);
 };
 
