--- a/Tests/sidecar/configuration_model.h
+++ b/Tests/sidecar/configuration_model.h
@@ -22,6 +22,12 @@
   duration seen_at{0};  ///< Since the start of the run.
 };
 
+/// Size and configuration of a fleet.
+struct fleet_options {
+  std::size_t per_domain = 0;  ///< Instances in each failure domain; 0 for a random number.
+  bool workspaces = false;
+};
+
 /// A fleet in three failure domains with a store and links, on a virtual clock. The decisions are
 /// made by the production code that follows and distributes configurations; store, links and
 /// processes fail as the test specifies.
@@ -32,10 +38,13 @@
 /// has acknowledged it, or within seven seconds while the store loses its history. A version that
 /// the store has lost because it went back must stay in force where it is, and reach connected
 /// instances from their peers within four seconds.
+///
+/// With workspaces each version has other keys. No instance may admit the keys of a version later
+/// than five seconds after the store has acknowledged the next one, whatever fails.
 class configuration_model {
  public:
   /// Starts the fleet with a first version and runs until all instances are connected.
-  explicit configuration_model(std::uint64_t seed);
+  explicit configuration_model(std::uint64_t seed, fleet_options options = {});
   ~configuration_model();
   configuration_model(const configuration_model&) = delete;
   configuration_model& operator=(const configuration_model&) = delete;
@@ -66,7 +75,14 @@
   /// at once, and the versions after `repeat_after`.
   void go_back(std::size_t lost, bool interrupts_watches, duration repeat_after);
   [[nodiscard]] model_store& store() { return store_; }
+  /// The store loses its newest version. Its operator writes it again after `span`.
+  void restore_older_copy(duration span);
 
+  /// The first instance that admitted a removed key too late, if any.
+  [[nodiscard]] const std::optional<late_version>& revoked() const { return revoked_; }
+  /// Number of instances that admit the keys of their version.
+  [[nodiscard]] std::size_t admitting() const;
+  [[nodiscard]] int store_calls() const { return store_.calls(); }
   [[nodiscard]] std::size_t size() const { return processes_.size(); }
   [[nodiscard]] model_process& at(std::size_t instance) { return *processes_.at(instance); }
   /// Positions of the instances in the failure domain with this index.
@@ -113,6 +129,7 @@
   /// Newest version that a connected instance has had for a while over whose link it could have
   /// come.
   [[nodiscard]] std::uint64_t version_of_peers(std::size_t instance) const;
+  void check_keys();
 
   random_source random_;
   virtual_timers timers_;
@@ -129,6 +146,7 @@
   std::uint64_t version_ = 0;
   std::vector<timer_handle> periodic_;
   std::optional<late_version> late_;
+  std::optional<late_version> revoked_;
   std::vector<std::string> faults_;
 };
 
