--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -11,6 +11,7 @@
 #include "mesh/upstream_pool.h"
 #include "mesh/weighted_rotation.h"
 #include "rollout/rollout_table.h"
+#include "sidecar/quota_exchange.h"
 #include "sidecar/sidecar_context.h"
 
 namespace crocusdoor {
@@ -23,6 +24,7 @@
   weighted_rotation& rotation;
   std::map<service_name, retry_window>& retries;
   rollout_table& rollouts;
+  quota_exchange& quotas;
   std::function<route_table_pointer()> configuration;
   /// Time at which this process ends; empty while it is not being stopped.
   std::function<std::optional<time_point>()> end_of_process;
