Split the connection of the HTTP server into a file of its own

The connection and what the connections of a server share move to http_connection; http_server.cpp keeps the server and the exchange. No behaviour changes.

--- /dev/null
+++ b/Source/transport/http_connection.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "transport/acknowledgement_watch.h"
+#include "transport/http_server.h"
+#include "transport/tcp_listener.h"
+
+struct bufferevent;
+
+namespace crocusdoor::detail {
+
+/// What the connections of one server share.
+struct http_server_state : std::enable_shared_from_this<http_server_state> {
+  using connection_pointer = std::shared_ptr<http_server_connection>;
+
+  event_loop& loop;
+  http_server::handler on_request;
+  http_server_limits limits;
+  bool closing = false;
+  std::set<connection_pointer> connections;
+  std::unique_ptr<tcp_listener> listener;
+  timer_handle timeout_check_timer;
+
+  http_server_state(event_loop& owner, http_server::handler handler,
+                    http_server_limits server_limits)
+      : loop(owner), on_request(std::move(handler)), limits(server_limits) {}
+
+  void check_connections();
+  void close_excess_connections(time_point now);
+  void limit_unsent_output();
+};
+
+/// One connection of a client. The server's set of connections and the exchange in progress keep it
+/// alive.
+class http_server_connection : public std::enable_shared_from_this<http_server_connection> {
+ public:
+  using undelivered_action = std::function<void(const undelivered_response&)>;
+
+  http_server_connection(const std::shared_ptr<http_server_state>& server, int descriptor);
+
+  ~http_server_connection();
+
+  http_server_connection(const http_server_connection&) = delete;
+  http_server_connection& operator=(const http_server_connection&) = delete;
+
+  void send_response(const http_request& request, const http_response& response,
+                     undelivered_action on_undelivered);
+
+  void close(delivery_failure cause = delivery_failure::closed_by_server);
+
+  [[nodiscard]] bool client_has_closed() const;
+
+  /// Closes or refuses the connection if a timeout has passed.
+  void check_timeouts(const http_server_limits& limits, time_point now);
+
+  [[nodiscard]] bool is_idle() {
+    return phase_ == phase::idle && !is_new() && !has_unread_bytes() && is_delivered();
+  }
+  [[nodiscard]] bool is_active();
+  /// Whether the client has not read the last response and has taken nothing of it for a while.
+  [[nodiscard]] bool is_stalled(time_point now);
+  [[nodiscard]] bool is_answering() const noexcept { return phase_ == phase::answering; }
+  [[nodiscard]] time_point last_active_at() const noexcept { return last_active_at_; }
+  [[nodiscard]] std::size_t unsent_output() const;
+
+  /// Bytes of responses that the client has not acknowledged.
+  [[nodiscard]] std::size_t undelivered_bytes() const;
+
+ private:
+  enum class phase { idle, reading, answering, lingering, closed };
+
+  /// Whether the connection is new and still has time to send its first request.
+  [[nodiscard]] bool is_new() const;
+
+  [[nodiscard]] bool has_unread_bytes() const;
+
+  void begin_request();
+
+  [[nodiscard]] time_point now() const;
+
+  /// Whether the client has acknowledged all responses, or will not because the connection has
+  /// failed. Notes when it has taken a part of them.
+  bool is_delivered();
+
+  /// The loop reports no reset after the client has ended its sending side.
+  [[nodiscard]] bool has_failed() const;
+
+  /// Closes a connection without a request `unused_limit` after its last response was delivered, or
+  /// earlier if the client takes nothing of that response.
+  void check_unused(duration unused_limit, const http_server_limits& limits, time_point now);
+
+  void check_reading(const http_server_limits& limits, time_point now);
+
+  void write(const std::string& bytes);
+
+  /// Shuts down the sending side once the output is written; the connection then lingers.
+  void finish_writing();
+
+  void end_sending();
+
+  void refuse(int status);
+
+  /// Reads a pipelined request in a later iteration of the loop, so that many of them do not
+  /// recurse deeply.
+  void post_read();
+
+  [[nodiscard]] std::size_t pending_input() const;
+
+  void read_available();
+
+  /// Handles the next request in `input_`. Leaves the connection in `phase::reading` if its end is
+  /// missing.
+  void read_request();
+
+  void dispatch_request();
+
+  void report_undelivered(delivery_failure cause);
+
+  /// Handles the end of the client's sending side. A client that has only ended that side still
+  /// gets the rest of its response; writing to one that has closed the connection fails.
+  void client_ended();
+
+  void client_closed(delivery_failure cause);
+
+  static void on_read(bufferevent*, void* context);
+
+  static void on_write(bufferevent*, void* context);
+
+  static void on_event(bufferevent*, short what, void* context);
+
+  std::weak_ptr<http_server_state> server_;
+  http_request_reader reader_;
+  std::weak_ptr<http_exchange> exchange_;
+  std::string input_;
+  phase phase_ = phase::idle;
+  bool keep_alive_ = true;
+  bool continue_sent_ = false;
+  bool served_ = false;  ///< Whether a request of this connection has been answered.
+  bool sending_ended_ = false;
+  bool client_ended_ = false;        ///< Whether the client has ended its sending side.
+  bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
+  std::size_t remaining_bytes_ = 0;  ///< Unacknowledged at the last check; 0 before the first one.
+  acknowledgement_watch acknowledgements_;
+  undelivered_action undelivered_action_;  ///< Of the last response.
+  time_point request_started_at_{};
+  time_point last_active_at_{};
+  bufferevent* stream_;
+};
+
+}  // namespace crocusdoor::detail
