--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -150,7 +150,6 @@
     begin();
     return;
   }
-  call_.workspace = workspace_;
   services_.quotas.decide(workspace_->name,
                           [self = shared_from_this()](bool admitted, duration retry_after) {
                             self->quota_decided(admitted, retry_after);
