Refuse responses with an invalid status

Cause: a status below 200 counted as an interim response, so a target that responded with 000 to 099 kept its request until the deadline, and 600 to 999 were passed on. The status in a peer's call_answer was not checked; a value above 999 lost the message, and the call waited.

Change: http_response_reader, which targets, the store and the command line share, accepts 100 to 599 only. Any other status ends the exchange as garbled: the request may have run, and the failure counts in the target's health. pending_calls treats a response of a peer that ran with a status other than 200 to 599 as may_have_run. Two to four digits, signs, blanks and other versions, and interim responses without end, were refused before; the tests now cover them at each place.

The make_response fixture of pending_calls_test states status 200, because 0 is not valid any more.

--- a/Source/link/pending_calls.cpp
+++ b/Source/link/pending_calls.cpp
@@ -1,5 +1,7 @@
 #include "link/pending_calls.h"
 
+#include "transport/response_status.h"
+
 namespace crocusdoor {
 
 bool pending_calls::add(wire::request_id id, const peer_process& receiver, time_point deadline,
@@ -25,9 +27,7 @@
     ++dropped_;
     return std::nullopt;
   }
-  call_outcome result = finish(found, response.outcome, response.reason);
-  result.response = response;
-  return result;
+  return finish(found, response);
 }
 
 lost_link_calls pending_calls::link_lost(const instance_name& instance) {
@@ -65,9 +65,7 @@
       return finish(found, verdict::not_run, "the request was lost with its link");
     case wire::call_progress::done:
       if (status.answer.has_value() && status.answer->id == status.id) {
-        call_outcome result = finish(found, status.answer->outcome, status.answer->reason);
-        result.response = status.answer;
-        return result;
+        return finish(found, *status.answer);
       }
       break;
     case wire::call_progress::forgotten:
@@ -94,6 +92,20 @@
   return deadlines_.begin()->first;
 }
 
+/// A response of the target without a status that a caller could be given is a failure of the
+/// target; the request may have run.
+call_outcome pending_calls::finish(call_map::iterator found, const wire::call_answer& response) {
+  const bool invalid = response.outcome == verdict::ran && !is_final_status(response.status);
+  call_outcome result = invalid ? finish(found, verdict::may_have_run, "invalid_status")
+                                : finish(found, response.outcome, response.reason);
+  result.response = response;
+  if (invalid) {
+    result.response->outcome = result.outcome;
+    result.response->reason = result.reason;
+  }
+  return result;
+}
+
 call_outcome pending_calls::finish(call_map::iterator found, verdict outcome, std::string reason) {
   call_outcome result{found->first, found->second.receiver, outcome, std::nullopt,
                       std::move(reason)};
--- a/Source/link/pending_calls.h
+++ b/Source/link/pending_calls.h
@@ -78,6 +78,7 @@
   };
   using call_map = std::map<wire::request_id, call>;
 
+  call_outcome finish(call_map::iterator found, const wire::call_answer& response);
   call_outcome finish(call_map::iterator found, verdict outcome, std::string reason);
 
   call_map calls_;
--- a/Source/transport/http_framing.cpp
+++ b/Source/transport/http_framing.cpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "transport/response_status.h"
+
 namespace crocusdoor {
 
 namespace http = boost::beast::http;
@@ -28,7 +30,6 @@
 constexpr int status_body_too_large = 413;
 constexpr int status_headers_too_large = 431;
 constexpr int status_not_implemented = 501;
-constexpr int first_final_status = 200;
 /// Maximum number of interim responses that are skipped before a final response.
 constexpr int interim_responses_limit = 16;
 constexpr int status_no_content = 204;
@@ -204,17 +205,20 @@
     }
     if (parser.is_header_done() && !headers_were_done) {
       const auto& message = parser.get();
-      if (detail::check_body_length(message) != detail::body_length_check::valid) {
+      // The parser accepts every number of three digits.
+      const int status = static_cast<int>(message.result_int());
+      if (!is_response_status(status) ||
+          detail::check_body_length(message) != detail::body_length_check::valid) {
         return read_progress::refused;
       }
-      if (static_cast<int>(message.result_int()) < detail::first_final_status) {
+      if (!is_final_status(status)) {
         if (++interim_responses_ > detail::interim_responses_limit) {
           return read_progress::refused;
         }
         start();
         continue;
       }
-      response_.status = static_cast<int>(message.result_int());
+      response_.status = status;
       response_.headers = detail::copy_headers(message);
       parser.eager(true);
       continue;
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -101,7 +101,8 @@
   static constexpr auto table = std::make_tuple(
       required_field("id", &wire::call_answer::id),
       required_field("outcome", &wire::call_answer::outcome),
-      required_field("status", &wire::call_answer::status, {0, 999}),
+      // Not restricted, so that an invalid status ends the call instead of losing the message.
+      required_field("status", &wire::call_answer::status),
       required_field("headers", &wire::call_answer::headers),
       required_field("body", &wire::call_answer::body),
       optional_field("reason", &wire::call_answer::reason),
--- a/Tests/command_line/api_commands_test.cpp
+++ b/Tests/command_line/api_commands_test.cpp
@@ -3,6 +3,8 @@
 
 #include "command_fixture.h"
 #include "configuration/plan.h"
+#include "invalid_status_lines.h"
+#include "scripted_server.h"
 
 namespace crocusdoor::command_line {
 
@@ -198,4 +200,18 @@
   CHECK(requests.back().body == R"({"instance":"s1"})");
 }
 
+TEST_CASE("a response with an invalid status line is no answer of the intent API", "[F12]") {
+  const std::string line =
+      GENERATE(from_range(invalid_status_lines.begin(), invalid_status_lines.end()));
+  INFO(line);
+  event_loop loop;
+  scripted_server server(loop, 0, [&](auto& connection, const std::string&) {
+    connection.write(with_status_line(line));
+  });
+  api_client client(loop, {"127.0.0.1", server.port()}, std::chrono::milliseconds(500));
+  const api_response response = client.call("GET", "/v1/status");
+  CHECK(response.outcome == http_outcome::garbled);
+  CHECK_FALSE(response.ok());
+}
+
 }  // namespace crocusdoor::command_line
--- a/Tests/daemon/target_client_test.cpp
+++ b/Tests/daemon/target_client_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "invalid_status_lines.h"
 #include "scripted_server.h"
 
 namespace crocusdoor {
@@ -89,4 +90,33 @@
   CHECK(target.connections() == (repeats_ids ? 1U : 2U));
 }
 
+TEST_CASE("a response with an invalid status line is a failure of the target", "[P4]") {
+  // Guards against a status below 100 that counts as an interim response, so that the request waits
+  // until its deadline.
+  const std::string line =
+      GENERATE(from_range(invalid_status_lines.begin(), invalid_status_lines.end()));
+  INFO(line);
+  event_loop loop;
+  random_source random(1);
+  metrics counters;
+  trace_recorder traces("instance", 10);
+  scripted_server server(loop, 0, [&](auto& connection, const std::string& request) {
+    connection.write(with_status_line(line, "X-Exchange-Id: " + exchange_id_of(request) + "\r\n"));
+  });
+  settings options;
+  options.target.address = "127.0.0.1";
+  options.target.port = server.port();
+  const daemon_context shared{loop, random, options, counters, traces, 1};
+  target_client client(shared);
+  wire::call_answer received;
+  client.send({.method = "GET", .path = "/"}, loop.now() + milliseconds(500),
+              [&](const wire::call_answer& response, bool) {
+                received = response;
+                loop.stop();
+              });
+  loop.run();
+  CHECK(received.outcome == verdict::may_have_run);
+  CHECK(received.reason == "target_connection_lost");
+}
+
 }  // namespace crocusdoor
--- a/Tests/link/pending_calls_test.cpp
+++ b/Tests/link/pending_calls_test.cpp
@@ -25,6 +25,7 @@
   wire::call_answer answer;
   answer.id = id;
   answer.outcome = verdict::ran;
+  answer.status = 200;
   answer.body = {"answer to " + std::to_string(id)};
   return answer;
 }
@@ -199,4 +200,32 @@
   CHECK(verdict_counts[verdict::ran] > 50);
 }
 
+TEST_CASE("a response with an invalid status is a failure of the target", "[P4]") {
+  // Guards against a status that no caller can read, delivered because a peer has sent it.
+  const int status = GENERATE(-200, -1, 0, 1, 99, 100, 199, 600, 999, 2'000);
+  INFO(status);
+  pending_calls calls;
+  REQUIRE(calls.add(1, target, deadline, true));
+  wire::call_answer response = make_response(1);
+  response.status = status;
+
+  SECTION("in a response") {
+    const auto outcome = calls.handle_response(response, target);
+    REQUIRE(outcome);
+    CHECK(outcome->outcome == verdict::may_have_run);
+    CHECK(outcome->reason == "invalid_status");
+  }
+  SECTION("in a response that was kept for a query") {
+    const auto outcome = calls.handle_status({1, call_progress::done, response}, target);
+    REQUIRE(outcome);
+    CHECK(outcome->outcome == verdict::may_have_run);
+  }
+  SECTION("but not without a response of the target") {
+    response.outcome = verdict::not_run;
+    const auto outcome = calls.handle_response(response, target);
+    REQUIRE(outcome);
+    CHECK(outcome->outcome == verdict::not_run);
+  }
+}
+
 }  // namespace crocusdoor
--- a/Tests/platform_adapter/object_store_test.cpp
+++ b/Tests/platform_adapter/object_store_test.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "invalid_status_lines.h"
+#include "scripted_server.h"
 #include "transport/tcp_listener.h"
 
 namespace crocusdoor::platform {
@@ -102,4 +104,21 @@
   }
 }
 
+TEST_CASE("a response with an invalid status line is no answer of the store",
+          "[platform_adapter][P4]") {
+  // Guards against a call to the store that waits until its deadline, because a status below 100
+  // counts as an interim response, and against a status that counts as success or as refusal.
+  const std::string line =
+      GENERATE(from_range(invalid_status_lines.begin(), invalid_status_lines.end()));
+  INFO(line);
+  event_loop loop;
+  scripted_server server(loop, store_port, [&](auto& connection, const std::string&) {
+    connection.write(with_status_line(line));
+  });
+  object_store store(loop, {"127.0.0.1", store_port});
+  const time_point begin = loop.now();
+  CHECK(read_once(loop, store) == store_outcome::unknown);
+  CHECK(loop.now() - begin < std::chrono::milliseconds(500));
+}
+
 }  // namespace crocusdoor::platform
--- a/Tests/sidecar/target_answers_test.cpp
+++ b/Tests/sidecar/target_answers_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "invalid_status_lines.h"
 #include "mesh_fixture.h"
 #include "scripted_server.h"
 
@@ -141,4 +142,48 @@
   }
 }
 
+TEST_CASE("a response with an invalid status line is a failure of the target", "[sidecar][P4]") {
+  // Guards against a status below 100 that counts as an interim response: the request waited until
+  // its deadline, and the caller got 504.
+  const std::string line =
+      GENERATE(from_range(invalid_status_lines.begin(), invalid_status_lines.end()));
+  INFO(line);
+  mesh_fixture mesh;
+  test_instance& origin = mesh.add("origin", "other");
+  test_instance& target = mesh.add("target", "s");
+  mesh.configure(1, "s");
+
+  SECTION("a request that may run only once gets 502") {
+    mesh.start();
+    const std::uint16_t port = target.target->port();
+    target.target = nullptr;
+    int requests = 0;
+    scripted_server server(mesh.loop, port, [&](auto& from, const std::string& request) {
+      ++requests;
+      from.write(with_status_line(
+          line, id_header(id_of(request)) + "X-Response-Seal: s\r\nX-Not-Executed: 1\r\n"));
+    });
+    const time_point begin = mesh.loop.now();
+    CHECK(mesh.call(origin, "POST", "/once/", "x").response.status == 502);
+    CHECK(mesh.loop.now() - begin < milliseconds(1'000));
+    CHECK(requests == 1);
+  }
+  SECTION("another request is sent to another target, and the failure counts") {
+    test_instance& healthy = mesh.add("healthy", "s");
+    mesh.start();
+    const std::uint16_t port = target.target->port();
+    target.target = nullptr;
+    int failures = 0;
+    scripted_server server(mesh.loop, port, [&](auto& from, const std::string& request) {
+      ++failures;
+      from.write(with_status_line(line, id_header(id_of(request)) + "X-Response-Seal: s\r\n"));
+    });
+    for (int i = 0; i < 10; ++i) {
+      CHECK(mesh.call(origin, "GET", "/safe/").response.status == 200);
+    }
+    CHECK(healthy.received.size() == 10);
+    CHECK(failures <= 2);
+  }
+}
+
 }  // namespace crocusdoor
--- a/Tests/transport/http_framing_test.cpp
+++ b/Tests/transport/http_framing_test.cpp
@@ -4,6 +4,8 @@
 #include <random>
 #include <vector>
 
+#include "invalid_status_lines.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -216,4 +218,34 @@
   }
 }
 
+TEST_CASE("a response with an invalid status line is refused", "[P4]") {
+  // Guards against a status below 100 that counts as an interim response, so that the request waits
+  // until its deadline.
+  const auto read = [](std::string bytes) {
+    http_response_reader reader("GET", {});
+    return reader.read(bytes);
+  };
+  for (const std::string& line : invalid_status_lines) {
+    INFO(line);
+    CHECK(read(with_status_line(line)) == read_progress::refused);
+  }
+  for (const char* line : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 599 High"}) {
+    INFO(line);
+    CHECK(read(with_status_line(line)) == read_progress::complete);
+  }
+  SECTION("also after an interim response") {
+    CHECK(read("HTTP/1.1 100 Continue\r\n\r\n" + with_status_line("HTTP/1.1 099 Low")) ==
+          read_progress::refused);
+  }
+  SECTION("and interim responses without end are refused as well") {
+    http_response_reader reader("GET", {});
+    read_progress progress = read_progress::incomplete;
+    for (int i = 0; i < 100 && progress == read_progress::incomplete; ++i) {
+      std::string bytes = "HTTP/1.1 102 Processing\r\n\r\n";
+      progress = reader.read(bytes);
+    }
+    CHECK(progress == read_progress::refused);
+  }
+}
+
 }  // namespace crocusdoor
