Restart a daemon after the bound in the model of a restored store

The daemon of the test restarted while the removed key was still within the bound, so the test passed although answers of the store counted without a peer. It now restarts 5.6 s after the version and reads the older copy before a peer answers. The test fails with that fault and passes without it.

--- a/Tests/sidecar/freshness_model_test.cpp
+++ b/Tests/sidecar/freshness_model_test.cpp
@@ -113,8 +113,11 @@
   configuration_model model(5, large_fleet);
   model.write_version();
   model.run_for(milliseconds(600));
-  model.kill(3, milliseconds(300), false);
-  model.restore_older_copy(seconds(9));
+  model.restore_older_copy(seconds(14));
+  model.run_for(seconds(5));
+  // The older version is the first one that this daemon reads, and its keys must not run any more.
+  // It starts between two checks of the links, so the store answers it before a peer does.
+  model.kill(3, milliseconds(310), false);
   model.run_for(seconds(8));
   CHECK(model.admitting() == model.size());
   model.run_for(seconds(7));
