Lend a burst to one daemon in fewer grants

Sixty requests at once at one daemon got 8 of 16 tokens (Tests/sidecar/quota_test), because a grant was at most half of the pool and the rest was then refused at once. A grant is now up to three quarters, and requests keep waiting after a grant of four tokens or more.

quota_tests: 6 test cases pass with the change. The test with real daemons was not run again with it: the lock on the ports was not free within 150 s.

--- a/Source/quota/quota_account.cpp
+++ b/Source/quota/quota_account.cpp
@@ -12,6 +12,8 @@
 /// The same for a workspace while its coordinator has fewer tokens than requests wait. Requests
 /// without a token are refused at once in this time, since no grant would come while they wait.
 constexpr duration denied_interval = std::chrono::milliseconds(200);
+/// With a grant of this many tokens, more may be had at the next report.
+constexpr double least_useful_grant = 4;
 /// A report before the grant for the previous one makes that grant void, so it waits this long.
 constexpr duration grant_time = std::chrono::milliseconds(300);
 /// Reports that arrive later than this after they were sent may have handed over a share twice.
@@ -264,7 +266,8 @@
         std::clamp(granted.tokens - (state.used - state.used_at_report), 0.0, state.limit.capacity);
     state.valid_until = part.sent_at + grant.valid_ms;
     received += std::max(state.tokens - before, 0.0);
-    const bool denied = granted.tokens < state.waiting_at_report;
+    const bool denied =
+        granted.tokens < std::min<double>(state.waiting_at_report, least_useful_grant);
     state.denied_until = denied ? part.sent_at + denied_interval : time_point{};
     note_shortage(state);
   }
--- a/Source/quota/quota_pool.cpp
+++ b/Source/quota/quota_pool.cpp
@@ -13,7 +13,7 @@
 /// Time in which reports that arrived during a pause are read.
 constexpr duration outdated_reports_time = std::chrono::milliseconds(200);
 /// One report gets at most this part of the tokens that are left.
-constexpr double largest_grant = 0.5;
+constexpr double largest_grant = 0.75;
 
 double seconds(duration span) {
   return std::chrono::duration<double>(span).count();
