Tell a store whose first era is 0 from one that states none

Cause: eras may count from 0; the change from 0 to 1 then counted as the first era that is stated, and nothing was written again.

--- a/Source/mesh/store_era.h
+++ b/Source/mesh/store_era.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 namespace crocusdoor {
 
@@ -15,13 +16,13 @@
 /// it returns from an older copy and assigns revisions again.
 class store_era {
  public:
-  /// A response of the store or a peer states this era; 0 if it states none.
-  era_relation observe(std::uint64_t era);
-  /// 0 if no message has stated an era.
-  [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
+  /// A response of the store or a peer states this era, or none.
+  era_relation observe(std::optional<std::uint64_t> era);
+  /// Empty if no message has stated an era. The first era of a store may be 0.
+  [[nodiscard]] std::optional<std::uint64_t> newest() const noexcept { return newest_; }
 
  private:
-  std::uint64_t newest_ = 0;
+  std::optional<std::uint64_t> newest_;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/platform_contract.h
+++ b/Source/sidecar/platform_contract.h
@@ -126,9 +126,9 @@
   /// the era.
   void on_new_era(era_handler handler) { new_era_ = std::move(handler); }
   /// A peer knows this era; responses of older ones are outdated.
-  void peer_reported_era(std::uint64_t era) { (void)observe_era(era, true); }
-  /// Newest era known; 0 if the store states none.
-  [[nodiscard]] std::uint64_t era() const noexcept { return era_.newest(); }
+  void peer_reported_era(std::optional<std::uint64_t> era) { (void)observe_era(era, true); }
+  /// Newest era known; empty if the store states none.
+  [[nodiscard]] std::optional<std::uint64_t> era() const noexcept { return era_.newest(); }
   /// Number of responses of an older era than the newest one known then.
   [[nodiscard]] std::uint64_t outdated_responses() const noexcept { return outdated_responses_; }
 
@@ -153,19 +153,19 @@
   virtual void withdraw_daemon(const instance_name& name, outcome_callback done) = 0;
 
  protected:
-  /// A response states this era; 0 if it states none. Returns whether its content may be used.
-  [[nodiscard]] bool response_is_current(std::uint64_t era) {
+  /// A response states this era, or none. Returns whether its content may be used.
+  [[nodiscard]] bool response_is_current(std::optional<std::uint64_t> era) {
     const bool current = observe_era(era, false);
     outdated_responses_ += current ? 0 : 1;
     return current;
   }
 
  private:
-  bool observe_era(std::uint64_t era, bool from_peer) {
-    const std::uint64_t previous = era_.newest();
+  bool observe_era(std::optional<std::uint64_t> era, bool from_peer) {
+    const std::optional<std::uint64_t> previous = era_.newest();
     const era_relation relation = era_.observe(era);
     if (relation == era_relation::newer && new_era_) {
-      new_era_({previous, era, from_peer});
+      new_era_({*previous, *era, from_peer});
     }
     return relation != era_relation::outdated;
   }
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -272,7 +272,7 @@
   callbacks.configuration_digest = [] { return digest(); };
   callbacks.load = [this] { return std::optional(gateway_->work().load()); };
   callbacks.store_era = [this] {
-    return loop_.now() < era_reported_until_ ? std::optional(store_->era()) : std::nullopt;
+    return loop_.now() < era_reported_until_ ? store_->era() : std::nullopt;
   };
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
@@ -340,7 +340,7 @@
     if (heartbeat.load.has_value()) {
       upstreams_.load_reported(from, *heartbeat.load, loop_.now());
     }
-    store_->peer_reported_era(heartbeat.store_era.value_or(0));
+    store_->peer_reported_era(heartbeat.store_era);
   });
   configurations_->connect(dispatcher);
   rollouts_->connect(dispatcher);
@@ -571,8 +571,8 @@
   counters_
       .total("crocusdoor_crashing_requests", "Requests refused because they have crashed targets")
       .Set(static_cast<double>(crashes_.refused(loop_.now())));
-  counters_.total("crocusdoor_store_era", "Newest known era of the platform's store; 0 if unknown")
-      .Set(static_cast<double>(store_->era()));
+  counters_.total("crocusdoor_store_era", "Newest known era of the platform's store; -1 if unknown")
+      .Set(store_->era().has_value() ? static_cast<double>(*store_->era()) : -1.0);
   counters_
       .total("crocusdoor_store_outdated_responses",
              "Responses of the store that were ignored because their era was over")
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -37,7 +37,7 @@
   /// Called once after the next change of an entry, before its response.
   std::function<void()> after_write;
   std::uint64_t revision = 1;
-  std::uint64_t era = 0;                  ///< 0 if the store states none.
+  std::uint64_t era = 0;                  ///< Stated in each response.
   int calls = 0;                          ///< Number of calls to the store, watches included.
   int waiting = 0;                        ///< Number of waiting watches.
   std::uint64_t last_watch_revision = 0;  ///< Revision from which the latest watch waits.
--- a/Tests/sidecar/model_process.cpp
+++ b/Tests/sidecar/model_process.cpp
@@ -74,7 +74,7 @@
 
 void model_process::receive(const instance_name& from, std::uint64_t version, std::uint64_t era,
                             const wire::message* content) {
-  store_client_->peer_reported_era(era);
+  store_client_->peer_reported_era(era == 0 ? std::nullopt : std::optional(era));
   exchange_->version_seen(from, version);
   if (content != nullptr) {
     dispatcher_->dispatch(from, *content);
