Bound the buffered bytes of a process

Cause: each connection kept what had arrived of its request. A crowd that left large bodies unfinished filled the memory of the process.

Change: buffer_account counts the buffered bytes of all HTTP servers and the unsent output of links, in both programs. From three quarters of the budget on, read_schedule lets large requests be read in turns and refuses those whose clients have been silent for longest (408), then the largest incomplete one (503). Complete large requests are refused with 503 while the budget is used up. Bodies grow with the bytes that have arrived, not with the announced length.

Tests and benchmarks that build a context of a daemon pass no buffers; then nothing is counted.

--- a/Benchmarks/sidecar/sidecar_benchmark.cpp
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -251,8 +251,17 @@
   metrics counters;
   decision_log log{loop, "instance", options.log, STDOUT_FILENO};
   start_timeline start{loop, log, counters};
-  sidecar_context context{loop,    random, options,  contract, retries,
-                          crashes, log,    counters, start,    {instance_name("instance"), 1}};
+  sidecar_context context{loop,
+                          random,
+                          options,
+                          contract,
+                          retries,
+                          crashes,
+                          log,
+                          counters,
+                          start,
+                          nullptr,
+                          {instance_name("instance"), 1}};
 };
 
 /// Which requests have crashed targets.
--- a/Source/daemon/daemon_context.h
+++ b/Source/daemon/daemon_context.h
@@ -4,6 +4,7 @@
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
 #include "daemon/trace_recorder.h"
+#include "transport/buffer_manager.h"
 #include "transport/event_loop.h"
 
 namespace crocusdoor {
@@ -15,6 +16,8 @@
   const settings& options;
   metrics& counters;
   trace_recorder& traces;
+  /// Counts and limits what all servers of the process buffer.
+  std::shared_ptr<buffer_manager> buffers;
   /// Wall time of this process's start in milliseconds; distinguishes it from earlier processes of
   /// the instance.
   std::uint64_t incarnation;
--- a/Source/daemon/intent_api.cpp
+++ b/Source/daemon/intent_api.cpp
@@ -26,8 +26,10 @@
     : daemon_(owner),
       shared_(owner.shared()),
       other_instances_(owner.shared()),
-      server_(shared_.loop, {shared_.options.listen.address, shared_.options.listen.api_port},
-              [this](const exchange_pointer& exchange) { router_.dispatch(exchange); }) {
+      server_(
+          shared_.loop, {shared_.options.listen.address, shared_.options.listen.api_port},
+          [this](const exchange_pointer& exchange) { router_.dispatch(exchange); },
+          http_server_limits{}, shared_.buffers) {
   add_configuration_routes();
   add_instance_routes();
   add_operation_routes();
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -49,7 +49,10 @@
       options_(std::move(options)),
       random_(stable_hash(options_.instance.name.str(), start_incarnation())),
       traces_(options_.instance.name.str(), static_cast<std::size_t>(options_.trace.buffer_spans)),
-      shared_{loop_, random_, options_, counters_, traces_, start_incarnation()},
+      buffers_(std::make_shared<buffer_manager>(
+          loop_, buffer_budget_bytes(options_.limits.memory_mb),
+          [this](const buffer_manager::refusal_counts& refusals) { log_memory(refusals); })),
+      shared_{loop_, random_, options_, counters_, traces_, buffers_, start_incarnation()},
       platform_(loop_, {options_.platform.address, options_.platform.port},
                 options_.platform.timeout_ms, options_.platform.connections),
       selector_({options_.instance.name, options_.instance.domain, options_.instance.region},
@@ -108,11 +111,26 @@
         } else {
           std::make_shared<caller_request>(*caller_services_, exchange)->start();
         }
-      });
+      },
+      http_server_limits{}, buffers_);
+  buffers_->set_link_output([this] { return mesh_->unsent_output(); });
   api_ = std::make_unique<intent_api>(*this);
 }
 
-mesh_daemon::~mesh_daemon() = default;
+mesh_daemon::~mesh_daemon() {
+  buffers_->stop();
+}
+
+void mesh_daemon::log_memory(const buffer_manager::refusal_counts& refusals) const {
+  std::string refused;
+  for (const auto& [reason, count] : refusals) {
+    refused.append(refused.empty() ? "" : ",").append(to_string(reason)).append(":");
+    refused.append(std::to_string(count));
+  }
+  LOG_EVENT(WARNING, "memory_limited")
+      << field("refused", refused) << field("buffered_bytes", buffers_->account()->total())
+      << field("budget", buffers_->account()->budget());
+}
 
 instance_record mesh_daemon::make_self() const {
   instance_record self;
@@ -337,6 +355,7 @@
   counters_.total("crocusdoor_peer_bytes_received_total", "Bytes received from other daemons")
       .Set(static_cast<double>(mesh_->bytes_received()));
   counters_.set_link_traffic(mesh_->traffic());
+  counters_.set_buffers(*buffers_);
   counters_.total("crocusdoor_refused_messages_total", "Messages that were not valid")
       .Set(static_cast<double>(mesh_->refused_messages()));
   counters_.total("crocusdoor_platform_reads_total", "Read calls of the platform")
--- a/Source/daemon/mesh_daemon.h
+++ b/Source/daemon/mesh_daemon.h
@@ -55,6 +55,7 @@
 
  private:
   [[nodiscard]] instance_record make_self() const;
+  void log_memory(const buffer_manager::refusal_counts& refusals) const;
   peer_mesh::handlers mesh_handlers();
   target_gateway::handlers target_handlers();
   void receive_suspicions(const instance_name& from, const wire::suspicions& content);
@@ -69,6 +70,7 @@
   random_source random_;
   metrics counters_;
   trace_recorder traces_;
+  std::shared_ptr<buffer_manager> buffers_;
   daemon_context shared_;
   platform_client platform_;
   crash_suspicions suspicions_;
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -168,6 +168,24 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels);
 }
 
+void metrics::set_buffers(buffer_manager& buffers) {
+  buffers.update_link_output();
+  const buffer_account& account = *buffers.account();
+  total("crocusdoor_buffer_budget_bytes", "Bytes that may be buffered")
+      .Set(static_cast<double>(account.budget()));
+  for (const auto& [kind, name] : enum_names<buffer_kind>::names) {
+    total("crocusdoor_buffered_bytes", "Bytes buffered by kind", {{"kind", std::string(name)}})
+        .Set(static_cast<double>(account.bytes(kind)));
+  }
+  for (const auto& [reason, name] : enum_names<memory_refusal>::names) {
+    const auto found = buffers.refusals().find(reason);
+    total("crocusdoor_memory_refusals_total",
+          "Requests refused and connections closed for lack of memory, by reason",
+          {{"reason", std::string(name)}})
+        .Set(found == buffers.refusals().end() ? 0 : static_cast<double>(found->second));
+  }
+}
+
 void metrics::set_link_traffic(const link_traffic& traffic) {
   for (const auto& [scope, amounts] : traffic.totals()) {
     for (const auto& [kind, sent] : amounts) {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -10,6 +10,7 @@
 #include "core/time.h"
 #include "core/verdict.h"
 #include "link/link_traffic.h"
+#include "transport/buffer_manager.h"
 
 namespace crocusdoor {
 
@@ -61,6 +62,8 @@
   /// Gauge for a total that another object counts; set at the time of the scrape.
   prometheus::Gauge& total(const std::string& name, const std::string& help,
                            const prometheus::Labels& labels = {});
+  /// Sets the buffered bytes and the refusals for lack of memory.
+  void set_buffers(buffer_manager& buffers);
   /// Sets the totals of the messages and bytes sent to other daemons.
   void set_link_traffic(const link_traffic& traffic);
 
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -293,6 +293,14 @@
   return total_of(closed_bytes_received_, &peer_link::bytes_received);
 }
 
+std::size_t peer_mesh::unsent_output() const {
+  std::size_t bytes = 0;
+  for (const auto& session : all_sessions()) {
+    bytes += session->link()->unsent_output();
+  }
+  return bytes;
+}
+
 std::size_t peer_mesh::links_with_responses() const {
   std::size_t count = 0;
   for (const auto& [peer, sessions] : sessions_) {
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -102,6 +102,8 @@
   [[nodiscard]] const link_traffic& traffic() const noexcept { return *context_->traffic; }
   [[nodiscard]] std::uint64_t bytes_sent() const;
   [[nodiscard]] std::uint64_t bytes_received() const;
+  /// Bytes that wait in the buffers of all links.
+  [[nodiscard]] std::size_t unsent_output() const;
   /// Number of links whose peer has not acknowledged all responses sent to it.
   [[nodiscard]] std::size_t links_with_responses() const;
   [[nodiscard]] std::uint64_t refused_messages() const;
--- a/Source/sidecar/registration_server.cpp
+++ b/Source/sidecar/registration_server.cpp
@@ -22,8 +22,10 @@
       gateway_(gateway),
       entry_(entry),
       own_address_(to_string(shared.options.target.endpoint)),
-      server_(shared.loop, shared.options.listen.registration,
-              [this](const std::shared_ptr<http_exchange>& exchange) { receive(exchange); }) {}
+      server_(
+          shared.loop, shared.options.listen.registration,
+          [this](const std::shared_ptr<http_exchange>& exchange) { receive(exchange); },
+          http_server_limits{}, shared.buffers) {}
 
 void registration_server::receive(const std::shared_ptr<http_exchange>& exchange) {
   handle_failure(
--- a/Source/sidecar/sidecar_context.h
+++ b/Source/sidecar/sidecar_context.h
@@ -10,6 +10,7 @@
 #include "sidecar/sidecar_settings.h"
 #include "sidecar/start_timeline.h"
 #include "suspicion/crash_counts.h"
+#include "transport/buffer_manager.h"
 #include "transport/event_loop.h"
 
 namespace crocusdoor {
@@ -26,6 +27,8 @@
   decision_log& log;
   metrics& counters;
   start_timeline& start;
+  /// Counts and limits what all servers of the process buffer.
+  std::shared_ptr<buffer_manager> buffers;
   /// Name and incarnation of this process.
   peer_process self;
 };
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -53,11 +53,23 @@
       random_(stable_hash(options_.instance.name.str(), start_incarnation())),
       log_(loop_, options_.instance.name.str(), options_.log, STDOUT_FILENO),
       start_(loop_, log_, counters_),
-      shared_{
-          loop_,    random_, options_,  contract_, retry_limit_,
-          crashes_, log_,    counters_, start_,    {options_.instance.name, start_incarnation()}},
+      buffers_(std::make_shared<buffer_manager>(
+          loop_, buffer_budget_bytes(options_.limits.memory_mb),
+          [this](const buffer_manager::refusal_counts& refusals) { log_memory(refusals); })),
+      shared_{loop_,
+              random_,
+              options_,
+              contract_,
+              retry_limit_,
+              crashes_,
+              log_,
+              counters_,
+              start_,
+              buffers_,
+              {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
+  buffers_->set_link_output([this] { return mesh_->unsent_output(); });
   entry_ = std::make_unique<entry_writer>(shared_, *store_);
   crash_exchange_ = std::make_unique<crash_count_exchange>(
       shared_, *entry_, [this](const std::vector<crash_count>& counts) {
@@ -122,23 +134,28 @@
       }});
   connect_dispatcher();
   callers_ = std::make_unique<http_server>(
-      loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
+      loop_, options_.listen.callers,
+      [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
-      });
+      },
+      http_server_limits{}, buffers_);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
-      [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
+      [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); },
+      http_server_limits{}, buffers_);
   suspicion_api_ = std::make_unique<suspicion_api>(
       shared_,
       [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); });
   metrics_server_ = std::make_unique<http_server>(
-      loop_, options_.listen.metrics, [this](const std::shared_ptr<http_exchange>& exchange) {
+      loop_, options_.listen.metrics,
+      [this](const std::shared_ptr<http_exchange>& exchange) {
         if (exchange->request().target.starts_with(api_prefix)) {
           suspicion_api_->answer(exchange);
         } else {
           answer_metrics(*exchange);
         }
-      });
+      },
+      http_server_limits{}, buffers_);
   registration_ = std::make_unique<registration_server>(shared_, *gateway_, *entry_);
   stop_ = std::make_unique<planned_stop>(
       planned_stop::context{loop_, log_, *callers_, registration_->server(), gateway_->work(),
@@ -146,7 +163,9 @@
       options_.bounds.stop_s);
 }
 
-sidecar_daemon::~sidecar_daemon() = default;
+sidecar_daemon::~sidecar_daemon() {
+  buffers_->stop();
+}
 
 peer_mesh::configuration sidecar_daemon::mesh_settings() const {
   const exchange_headers& headers = contract_.headers;
@@ -278,6 +297,19 @@
   measure_loop_delay();
 }
 
+void sidecar_daemon::log_memory(const buffer_manager::refusal_counts& refusals) {
+  nlohmann::json refused = nlohmann::json::object();
+  for (const auto& [reason, count] : refusals) {
+    refused[std::string(to_string(reason))] = count;
+  }
+  nlohmann::json bytes = nlohmann::json::object();
+  for (const auto& [kind, name] : enum_names<buffer_kind>::names) {
+    bytes[std::string(name)] = buffers_->account()->bytes(kind);
+  }
+  log_.warning("memory_limited",
+               {{"refused", refused}, {"bytes", bytes}, {"budget", buffers_->account()->budget()}});
+}
+
 void sidecar_daemon::log_traffic() {
   for (const auto& [scope, amounts] : mesh_->traffic().totals()) {
     nlohmann::json kinds = nlohmann::json::object();
@@ -448,6 +480,7 @@
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
   counters_.set_link_traffic(mesh_->traffic());
+  counters_.set_buffers(*buffers_);
   counters_
       .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
       .Set(static_cast<double>(callers_->unsent().bytes));
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -71,6 +71,7 @@
   void configuration_adopted(const route_table_pointer& table);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
+  void log_memory(const buffer_manager::refusal_counts& refusals);
   void log_traffic();
   void measure_loop_delay();
 
@@ -84,6 +85,7 @@
   crash_counts crashes_;
   decision_log log_;
   start_timeline start_;
+  std::shared_ptr<buffer_manager> buffers_;
   sidecar_context shared_;
   upstream_pool upstreams_;
   weighted_rotation rotation_;
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -31,13 +31,25 @@
 constexpr duration stalled_time = std::chrono::seconds(5);
 /// A new connection counts as active for this long while its first request has not arrived.
 constexpr duration first_request_time = std::chrono::milliseconds(300);
+/// Input buffers above this size are released once their content has been handled.
+constexpr std::size_t kept_input_bytes = 4'096;
+/// Sent with a refusal for lack of memory. Others need about this long to finish or to be refused.
+constexpr const char* memory_retry_after = "2";
 constexpr int status_request_timeout = 408;
+constexpr int status_unavailable = 503;
+
+std::shared_ptr<buffer_account> account_of(const std::shared_ptr<buffer_manager>& buffers) {
+  return buffers == nullptr ? nullptr : buffers->account();
+}
 
 }  // namespace
 
 http_server_connection::http_server_connection(const std::shared_ptr<http_server_state>& server,
                                                int descriptor)
     : server_(server),
+      buffers_(server->buffers),
+      reading_charge_(account_of(buffers_), buffer_kind::reading),
+      response_charge_(account_of(buffers_), buffer_kind::responses),
       reader_(server->limits.size),
       last_active_at_(server->loop.now()),
       stream_(bufferevent_socket_new(server->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)) {
@@ -49,6 +61,9 @@
 }
 
 http_server_connection::~http_server_connection() {
+  if (buffers_ != nullptr) {
+    buffers_->remove(*this);
+  }
   if (stream_ != nullptr) {
     bufferevent_free(stream_);
   }
@@ -72,6 +87,7 @@
   } else {
     finish_writing();
   }
+  update_charges();
   if (server != nullptr && unsent_output() > 0) {
     server->limit_unsent_output();
   }
@@ -85,6 +101,7 @@
   phase_ = phase::closed;
   bufferevent_free(stream_);
   stream_ = nullptr;
+  update_charges();
   if (const auto server = server_.lock()) {
     // Erased in a later iteration of the loop: the set may hold the last reference, and a member
     // function of this object is running.
@@ -108,8 +125,8 @@
       check_unused(linger_time, limits, now);
       break;
     case phase::answering:
-      if (pending_input() >= input_limit_bytes && client_has_closed()) {
-        // Reading has stopped at the limit, so the loop would not report that the client closed.
+      if ((!reading_ || pending_input() >= input_limit_bytes) && client_has_closed()) {
+        // Reading has stopped, so the loop would not report that the client closed.
         client_closed(delivery_failure::closed_by_client);
       }
       break;
@@ -207,7 +224,10 @@
 void http_server_connection::check_reading(const http_server_limits& limits, time_point now) {
   const bool headers_timed_out =
       !reader_.in_body() && now - request_started_at_ >= limits.header_timeout;
-  const bool body_timed_out = reader_.in_body() && now - last_active_at_ >= limits.idle_timeout;
+  // A client that has sent more than was read is not idle.
+  const bool waits_for_client = reading_ || !describe().has_unread_input;
+  const bool body_timed_out =
+      reader_.in_body() && waits_for_client && now - last_active_at_ >= limits.idle_timeout;
   if (headers_timed_out || body_timed_out) {
     refuse(status_request_timeout);
   }
@@ -227,6 +247,7 @@
   if (unsent_output() == 0) {
     end_sending();
   }
+  update_charges();
 }
 
 void http_server_connection::end_sending() {
@@ -234,11 +255,68 @@
   ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
 }
 
-void http_server_connection::refuse(int status) {
-  write(write_response({status, {}, ""}, "GET", false));
+void http_server_connection::refuse(int status, const http_headers& headers) {
+  write(write_response({status, headers, ""}, "GET", false));
   finish_writing();
 }
 
+void http_server_connection::refuse_for_memory(memory_refusal reason) {
+  buffers_->count_refusal(reason);
+  refuse(reason == memory_refusal::client_silent ? status_request_timeout : status_unavailable,
+         {{"Retry-After", memory_retry_after}});
+}
+
+incomplete_request http_server_connection::describe() const {
+  return {request_id_, reading_bytes(), last_active_at_, has_unread_bytes()};
+}
+
+void http_server_connection::set_reading(bool enabled) {
+  if (stream_ == nullptr || reading_ == enabled) {
+    return;
+  }
+  reading_ = enabled;
+  if (enabled) {
+    bufferevent_enable(stream_, EV_READ);
+  } else {
+    bufferevent_disable(stream_, EV_READ);
+  }
+}
+
+std::size_t http_server_connection::reading_bytes() const {
+  const bool holds_request = phase_ == phase::reading;
+  return stream_ == nullptr
+             ? 0
+             : input_.capacity() + pending_input() + (holds_request ? reader_.held_bytes() : 0);
+}
+
+void http_server_connection::update_charges() {
+  if (buffers_ == nullptr) {
+    return;
+  }
+  if (input_.empty() && input_.capacity() > kept_input_bytes) {
+    input_ = std::string();
+  }
+  reading_charge_.set(reading_bytes());
+  response_charge_.set(unsent_output());
+  const bool incomplete = stream_ != nullptr && phase_ == phase::reading;
+  if (incomplete && request_id_ == 0) {
+    request_id_ = buffers_->next_request_id();
+    buffers_->add(*this);
+  } else if (!incomplete && request_id_ != 0) {
+    request_id_ = 0;
+    buffers_->remove(*this);
+  }
+  if (incomplete) {
+    set_reading(buffers_->may_read(*this));
+  } else if (phase_ == phase::answering) {
+    // Pipelined input is read when the response has been sent.
+    set_reading(!buffers_->account()->limited());
+    buffers_->check();
+  } else {
+    set_reading(true);
+  }
+}
+
 void http_server_connection::post_read() {
   const auto server = server_.lock();
   if (server != nullptr && (!input_.empty() || pending_input() > 0)) {
@@ -261,6 +339,7 @@
   if (phase_ == phase::answering) {
     // libevent keeps reading up to the limit and detects that the client closes; the bytes stay
     // buffered until the response is sent.
+    update_charges();
     return;
   }
   if (unsent_output() > unsent_limit_bytes) {
@@ -275,6 +354,7 @@
     append_input(stream_, input_);
     read_request();
   }
+  update_charges();
 }
 
 void http_server_connection::read_request() {
@@ -306,11 +386,26 @@
   phase_ = phase::answering;
   undelivered_action_ = nullptr;
   keep_alive_ = reader_.keep_alive();
-  const auto exchange = std::make_shared<http_exchange>(shared_from_this(), reader_.take());
+  http_request request = reader_.take();
+  update_charges();
+  if (!has_room_for(request)) {
+    refuse_for_memory(memory_refusal::no_room);
+    return;
+  }
+  const auto exchange =
+      std::make_shared<http_exchange>(shared_from_this(), std::move(request), account_of(buffers_));
   exchange_ = exchange;
   server->on_request(exchange);
 }
 
+bool http_server_connection::has_room_for(const http_request& request) const {
+  const std::size_t bytes = http_exchange::forwarding_bytes(request);
+  // One request may exceed the budget. Reading stops at three quarters of it, so otherwise no request
+  // of the full size could be forwarded on a machine with little memory while others are unfinished.
+  return buffers_ == nullptr || bytes <= read_schedule::small_request_bytes ||
+         buffers_->account()->has_room_for(1);
+}
+
 void http_server_connection::report_undelivered(delivery_failure cause) {
   const undelivered_action action = std::exchange(undelivered_action_, nullptr);
   if (action) {
@@ -350,6 +445,7 @@
   } else {
     self->post_read();
   }
+  self->update_charges();
 }
 
 void http_server_connection::on_event(bufferevent*, short what, void* context) {
--- a/Source/transport/http_connection.h
+++ b/Source/transport/http_connection.h
@@ -20,14 +20,18 @@
   event_loop& loop;
   http_server::handler on_request;
   http_server_limits limits;
+  std::shared_ptr<buffer_manager> buffers;
   bool closing = false;
   std::set<connection_pointer> connections;
   std::unique_ptr<tcp_listener> listener;
   timer_handle timeout_check_timer;
 
   http_server_state(event_loop& owner, http_server::handler handler,
-                    http_server_limits server_limits)
-      : loop(owner), on_request(std::move(handler)), limits(server_limits) {}
+                    http_server_limits server_limits, std::shared_ptr<buffer_manager> manager)
+      : loop(owner),
+        on_request(std::move(handler)),
+        limits(server_limits),
+        buffers(std::move(manager)) {}
 
   void check_connections();
   void close_excess_connections(time_point now);
@@ -36,13 +40,14 @@
 
 /// One connection of a client. The server's set of connections and the exchange in progress keep it
 /// alive.
-class http_server_connection : public std::enable_shared_from_this<http_server_connection> {
+class http_server_connection : public request_reader,
+                               public std::enable_shared_from_this<http_server_connection> {
  public:
   using undelivered_action = std::function<void(const undelivered_response&)>;
 
   http_server_connection(const std::shared_ptr<http_server_state>& server, int descriptor);
 
-  ~http_server_connection();
+  ~http_server_connection() override;
 
   http_server_connection(const http_server_connection&) = delete;
   http_server_connection& operator=(const http_server_connection&) = delete;
@@ -67,6 +72,10 @@
   [[nodiscard]] time_point last_active_at() const noexcept { return last_active_at_; }
   [[nodiscard]] std::size_t unsent_output() const;
 
+  [[nodiscard]] incomplete_request describe() const override;
+  void set_reading(bool enabled) override;
+  void refuse_for_memory(memory_refusal reason) override;
+
   /// Bytes of responses that the client has not acknowledged.
   [[nodiscard]] std::size_t undelivered_bytes() const;
 
@@ -102,7 +111,12 @@
 
   void end_sending();
 
-  void refuse(int status);
+  void refuse(int status, const http_headers& headers = {});
+
+  /// Counts what is buffered now and stops reading if the memory of the process requires it.
+  void update_charges();
+
+  [[nodiscard]] std::size_t reading_bytes() const;
 
   /// Reads a pipelined request in a later iteration of the loop, so that many of them do not
   /// recurse deeply.
@@ -118,6 +132,9 @@
 
   void dispatch_request();
 
+  /// Whether the request can be forwarded within the memory of the process.
+  [[nodiscard]] bool has_room_for(const http_request& request) const;
+
   void report_undelivered(delivery_failure cause);
 
   /// Handles the end of the client's sending side. A client that has only ended that side still
@@ -133,6 +150,11 @@
   static void on_event(bufferevent*, short what, void* context);
 
   std::weak_ptr<http_server_state> server_;
+  std::shared_ptr<buffer_manager> buffers_;
+  buffer_charge reading_charge_;
+  buffer_charge response_charge_;
+  std::uint64_t request_id_ = 0;  ///< Of the incomplete request; 0 if there is none.
+  bool reading_ = true;           ///< Whether the socket is being read.
   http_request_reader reader_;
   std::weak_ptr<http_exchange> exchange_;
   std::string input_;
--- a/Source/transport/http_framing.cpp
+++ b/Source/transport/http_framing.cpp
@@ -1,9 +1,11 @@
 #include "transport/http_framing.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -14,12 +16,54 @@
 
 namespace detail {
 
+/// Body of a message in a string that grows with the bytes that have arrived. The body type of the
+/// parser library reserves the announced length at once.
+struct growing_body {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool IsRequest, typename Fields>
+    reader(http::header<IsRequest, Fields>&, value_type& body) : body_(body) {}
+
+    void init(const boost::optional<std::uint64_t>& length, boost::beast::error_code& error) {
+      final_size_ = static_cast<std::size_t>(length.get_value_or(0));
+      error = {};
+    }
+
+    template <typename Buffers>
+    std::size_t put(const Buffers& buffers, boost::beast::error_code& error) {
+      error = {};
+      const std::size_t added = boost::asio::buffer_size(buffers);
+      make_room(body_.size() + added);
+      for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return added;
+    }
+
+    void finish(boost::beast::error_code& error) { error = {}; }
+
+   private:
+    /// Doubles the capacity, but not beyond the announced length.
+    void make_room(std::size_t size) {
+      if (size > body_.capacity()) {
+        const std::size_t doubled = 2 * body_.capacity();
+        body_.reserve(std::max(size, final_size_ > 0 ? std::min(doubled, final_size_) : doubled));
+      }
+    }
+
+    value_type& body_;
+    std::size_t final_size_ = 0;  ///< 0 if the length is not announced.
+  };
+};
+
 struct request_parser {
-  http::request_parser<http::string_body> parser;
+  http::request_parser<growing_body> parser;
 };
 
 struct response_parser {
-  http::response_parser<http::string_body> parser;
+  http::response_parser<growing_body> parser;
 };
 
 namespace {
@@ -31,6 +75,8 @@
 constexpr int first_final_status = 200;
 /// Maximum number of interim responses that are skipped before a final response.
 constexpr int interim_responses_limit = 16;
+/// Memory of a header field beside its text: a node of each of two containers and two strings.
+constexpr std::size_t header_field_bytes = 256;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 
@@ -156,9 +202,16 @@
   request_.method = std::string(message.method_string());
   request_.target = std::string(target);
   request_.headers = detail::copy_headers(message);
+  for (const auto& [name, value] : request_.headers) {
+    header_memory_ += detail::header_field_bytes + 2 * (name.size() + value.size());
+  }
   return true;
 }
 
+std::size_t http_request_reader::held_bytes() const {
+  return parser_->parser.get().body().capacity() + header_memory_;
+}
+
 bool http_request_reader::in_body() const noexcept {
   return parser_->parser.is_header_done() && !parser_->parser.is_done();
 }
--- a/Source/transport/http_framing.h
+++ b/Source/transport/http_framing.h
@@ -41,6 +41,8 @@
   /// Consumes the bytes of the request from the front of `bytes`.
   [[nodiscard]] read_progress read(std::string& bytes);
 
+  /// Memory that the incomplete request occupies, that of containers included.
+  [[nodiscard]] std::size_t held_bytes() const;
   /// Whether the headers are complete and the body is not.
   [[nodiscard]] bool in_body() const noexcept;
   /// Whether the client expects a 100 response before it sends the body.
@@ -58,6 +60,7 @@
   std::unique_ptr<detail::request_parser> parser_;
   std::size_t framing_limit_bytes_;
   http_request request_;
+  std::size_t header_memory_ = 0;  ///< Of the headers, in both containers.
   int refusal_status_ = 400;
 };
 
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -18,6 +18,13 @@
 /// Above this number of connections idle ones, and those whose clients do not read, are closed, so
 /// that file descriptors do not run out.
 constexpr std::size_t connection_limit = 2'000;
+/// A request that is forwarded exists in the exchange, in the call, in the message to a peer or the
+/// work of this process, and in the output to the target.
+constexpr std::size_t forwarding_copies = 4;
+/// The same for a header field beside its text.
+constexpr std::size_t header_field_bytes = 512;
+/// Responses may use half of the budget, so that requests can still be read.
+constexpr std::size_t budget_per_response_limit = 2;
 
 }  // namespace
 
@@ -75,7 +82,11 @@
     }
   }
   std::sort(unsent.begin(), unsent.end(), longer_inactive);
-  for (std::size_t i = 0; i < unsent.size() && bytes > total_unsent_limit_bytes; ++i) {
+  const std::size_t limit = buffers == nullptr
+                                ? total_unsent_limit_bytes
+                                : std::min(total_unsent_limit_bytes, buffers->account()->budget() /
+                                                                         budget_per_response_limit);
+  for (std::size_t i = 0; i < unsent.size() && bytes > limit; ++i) {
     bytes -= unsent[i]->unsent_output();
     unsent[i]->close(delivery_failure::output_limit);
   }
@@ -84,8 +95,20 @@
 }  // namespace detail
 
 http_exchange::http_exchange(std::shared_ptr<detail::http_server_connection> connection,
-                             http_request received_request)
-    : connection_(std::move(connection)), request_(std::move(received_request)) {}
+                             http_request received_request, std::shared_ptr<buffer_account> memory)
+    : connection_(std::move(connection)),
+      request_(std::move(received_request)),
+      charge_(std::move(memory), buffer_kind::forwarded) {
+  charge_.set(forwarding_bytes(request_));
+}
+
+std::size_t http_exchange::forwarding_bytes(const http_request& request) {
+  std::size_t bytes = forwarding_copies * request.body.size();
+  for (const auto& [name, value] : request.headers) {
+    bytes += header_field_bytes + forwarding_copies * (name.size() + value.size());
+  }
+  return bytes;
+}
 
 http_exchange::~http_exchange() {
   if (!responded_ && !disconnected_) {
@@ -130,8 +153,9 @@
 }
 
 http_server::http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
-                         http_server_limits limits)
-    : state_(std::make_shared<detail::http_server_state>(loop, std::move(on_request), limits)) {
+                         http_server_limits limits, std::shared_ptr<buffer_manager> buffers)
+    : state_(std::make_shared<detail::http_server_state>(loop, std::move(on_request), limits,
+                                                         std::move(buffers))) {
   state_->listener =
       std::make_unique<tcp_listener>(loop, local, [state = state_.get()](std::intptr_t accepted) {
         state->connections.insert(std::make_shared<detail::http_server_connection>(
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "core/enum_names.h"
+#include "transport/buffer_manager.h"
 #include "transport/event_loop.h"
 #include "transport/http_framing.h"
 #include "transport/http_types.h"
@@ -56,8 +57,11 @@
 /// the loop. An exchange that is destroyed without a response sends status 500.
 class http_exchange {
  public:
+  /// `memory` is the account that counts the request until the exchange is destroyed, if any.
   http_exchange(std::shared_ptr<detail::http_server_connection> connection,
-                http_request received_request);
+                http_request received_request, std::shared_ptr<buffer_account> memory = nullptr);
+  /// Memory that a request occupies while it waits or is being forwarded.
+  [[nodiscard]] static std::size_t forwarding_bytes(const http_request& request);
   ~http_exchange();
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
@@ -89,6 +93,7 @@
 
   std::shared_ptr<detail::http_server_connection> connection_;
   http_request request_;
+  buffer_charge charge_;
   bool responded_ = false;
   bool disconnected_ = false;
   std::function<void()> disconnect_action_;
@@ -111,9 +116,10 @@
  public:
   using handler = std::function<void(const std::shared_ptr<http_exchange>&)>;
 
-  /// Throws std::runtime_error if the endpoint cannot be bound.
+  /// Throws std::runtime_error if the endpoint cannot be bound. `buffers`, if any, counts and
+  /// limits what the connections buffer, together with those of other servers.
   http_server(event_loop& loop, const ip_endpoint& local, handler on_request,
-              http_server_limits limits = {});
+              http_server_limits limits = {}, std::shared_ptr<buffer_manager> buffers = nullptr);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
--- a/Source/transport/peer_link.cpp
+++ b/Source/transport/peer_link.cpp
@@ -116,6 +116,10 @@
   pending_output_.clear();
 }
 
+std::size_t peer_link::unsent_output() const {
+  return connection_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(connection_));
+}
+
 std::uint64_t peer_link::unacknowledged_bytes() const {
   return connection_ == nullptr ? unacknowledged_at_end_
                                 : evbuffer_get_length(bufferevent_get_output(connection_)) +
--- a/Source/transport/peer_link.h
+++ b/Source/transport/peer_link.h
@@ -57,6 +57,8 @@
 
   [[nodiscard]] bool is_open() const noexcept { return open_; }
   [[nodiscard]] std::uint64_t bytes_sent() const noexcept { return bytes_sent_; }
+  /// Bytes that wait in the buffer of the link.
+  [[nodiscard]] std::size_t unsent_output() const;
   /// How many of the bytes sent the peer has not acknowledged; after the end of the link, how many
   /// it had not acknowledged then.
   [[nodiscard]] std::uint64_t unacknowledged_bytes() const;
--- a/Tests/daemon/configuration_distributor_test.cpp
+++ b/Tests/daemon/configuration_distributor_test.cpp
@@ -77,7 +77,7 @@
   const settings options;
   metrics counters;
   trace_recorder traces("own", 1);
-  const daemon_context shared{loop, random, options, counters, traces, 1};
+  const daemon_context shared{loop, random, options, counters, traces, nullptr, 1};
   platform_client platform(loop, {"127.0.0.1", 23'952}, milliseconds(100), 1);
   configuration_distributor distributor(
       shared, tested_daemon.mesh, platform,
--- a/Tests/daemon/target_client_test.cpp
+++ b/Tests/daemon/target_client_test.cpp
@@ -67,7 +67,7 @@
   settings options;
   options.target.address = "127.0.0.1";
   options.target.port = target.port();
-  const daemon_context shared{loop, random, options, counters, traces, 1};
+  const daemon_context shared{loop, random, options, counters, traces, nullptr, 1};
   target_client client(shared);
   const auto response_body = [&](const std::string& path) {
     wire::call request;
