--- a/Source/transport/read_schedule.cpp
+++ b/Source/transport/read_schedule.cpp
@@ -10,6 +10,9 @@
 
 /// Bytes by which a request that is read again is expected to grow before the next decision.
 constexpr std::size_t growth_bytes = 65'536;
+/// A turn ends early if its client sends nothing for this long, so that clients which stop short do
+/// not keep the turns until they are refused. It is longer than the gaps on a working link.
+constexpr duration turn_silence = std::chrono::milliseconds(200);
 
 bool is_large(const incomplete_request& request) {
   return request.bytes > read_schedule::small_request_bytes;
@@ -88,10 +91,14 @@
 /// end of the order.
 void read_schedule::update_order(const request_list& requests, time_point now) {
   std::set<std::uint64_t> present;
+  std::set<std::uint64_t> silent;
   for (const incomplete_request& request : requests) {
     if (is_large(request)) {
       present.insert(request.id);
     }
+    if (silence(request, now) >= turn_silence) {
+      silent.insert(request.id);
+    }
   }
   std::erase_if(turns_, [&](const auto& turn) { return !present.contains(turn.first); });
   std::erase_if(order_, [&](std::uint64_t id) { return !present.contains(id); });
@@ -102,7 +109,8 @@
     }
   }
   std::erase_if(turns_, [&](const auto& turn) {
-    const bool ended = now - turn.second >= turn_time && !order_.empty();
+    const bool used = now - turn.second >= turn_time || silent.contains(turn.first);
+    const bool ended = used && !order_.empty();
     if (ended) {
       order_.push_back(turn.first);
     }
--- a/Tests/memory/memory_test.cpp
+++ b/Tests/memory/memory_test.cpp
@@ -14,9 +14,9 @@
 constexpr int memory_mb = 64;
 constexpr std::size_t bytes_per_mb = 1'000'000;
 constexpr std::size_t body_bytes = http_body_limit_bytes;
-constexpr std::size_t crowd_size = 3 * memory_mb * bytes_per_mb / body_bytes;
+constexpr std::size_t crowd_size = bytes_per_mb * 3 * memory_mb / body_bytes;
 /// The process must not use more than its machine has.
-constexpr std::size_t resident_limit_bytes = memory_mb * bytes_per_mb;
+constexpr std::size_t resident_limit_bytes = bytes_per_mb * memory_mb;
 /// A connection of each client, and those of the process itself.
 constexpr std::size_t descriptor_limit = crowd_size + 64;
 /// Bytes by which a body stops short.
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -38,8 +38,6 @@
   void write_others(std::uint64_t writes) { revision_ += writes; }
   /// Whether responses state the era, as older stores do not.
   void state_era(bool stated) { era_stated_ = stated; }
-  /// Number of calls that all processes have begun.
-  [[nodiscard]] int calls() const { return calls_; }
   /// Watches get no changes for this time; then they are interrupted and the history is discarded.
   void compact_after(duration span);
   void set_latency(duration latency) { latency_ = latency; }
@@ -67,7 +65,6 @@
   std::uint64_t oldest_known_revision_ = 0;
   std::uint64_t era_ = 1;
   bool era_stated_ = true;
-  int calls_ = 0;
   time_point silent_until_{};
   int compactions_ = 0;
   int overlapping_watches_ = 0;
--- a/Tests/transport/read_schedule_test.cpp
+++ b/Tests/transport/read_schedule_test.cpp
@@ -70,6 +70,18 @@
     CHECK(read.size() == 13);
   }
 
+  SECTION("a client that sends nothing loses its turn early") {
+    for (int i = 0; i < 13; ++i) {
+      test.add(large, start, true);
+    }
+    REQUIRE(test.decide(now).may_read.contains(1));
+    test.requests.front().has_unread_input = false;
+    test.requests.front().last_received_at = now;
+    const read_decision decision = test.decide(now + std::chrono::milliseconds(300));
+    CHECK(decision.may_read == std::set<std::uint64_t>{2});
+    CHECK(decision.silent.empty());
+  }
+
   SECTION("a small request is read although the budget is nearly used") {
     for (int i = 0; i < 13; ++i) {
       test.add(large, start, true);
