Trust the store alone no more after a new era

Cause: a store that returns from an older copy may lack a version that removed API keys; only a daemon that starts asked a peer as well. Change: a new era has the same effect as a start: a read of the store proves a version only together with the answer of a peer.

--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -503,6 +503,8 @@
                                      {"version", configurations_->version()}});
   era_reported_until_ = loop_.now() + era_report_time;
   configurations_->store_era_changed();
+  // The copy may lack a version that removes keys.
+  configurations_->freshness().distrust_store();
   entry_->store_era_changed();
   finder_->store_era_changed();
   crash_exchange_->store_era_changed([this](const digest& request) {
