--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -66,6 +66,10 @@
       undelivered_responses_(make_family(
           registry_, "crocusdoor_undelivered_responses_total",
           "Responses not acknowledged before their connection or link ended, by receiver")),
+      quota_messages_(make_family(registry_, "crocusdoor_quota_messages_total",
+                                  "Reports about quotas and grants that this instance made")),
+      quota_tokens_(make_family(registry_, "crocusdoor_quota_tokens_total",
+                                "Tokens of quotas that this instance received by coordinator")),
       configuration_offers_(
           make_family(registry_, "crocusdoor_configuration_offers_total",
                       "Configuration versions offered to this instance by result")),
@@ -142,6 +146,14 @@
   undelivered_responses_->Add({{"receiver", receiver}, {"cause", cause}}).Increment();
 }
 
+void metrics::count_quota_message(const std::string& kind) {
+  quota_messages_->Add({{"kind", kind}}).Increment();
+}
+
+void metrics::count_quota_tokens(const std::string& source, double tokens) {
+  quota_tokens_->Add({{"source", source}}).Increment(tokens);
+}
+
 void metrics::count_configuration_offer(const std::string& result) {
   configuration_offers_->Add({{"result", result}}).Increment();
 }
@@ -168,6 +180,24 @@
   return prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels);
 }
 
+void metrics::set_buffers(buffer_manager& buffers) {
+  buffers.update_link_output();
+  const buffer_account& account = *buffers.account();
+  total("crocusdoor_buffer_budget_bytes", "Bytes that may be buffered")
+      .Set(static_cast<double>(account.budget()));
+  for (const auto& [kind, name] : enum_names<buffer_kind>::names) {
+    total("crocusdoor_buffered_bytes", "Bytes buffered by kind", {{"kind", std::string(name)}})
+        .Set(static_cast<double>(account.bytes(kind)));
+  }
+  for (const auto& [reason, name] : enum_names<memory_refusal>::names) {
+    const auto found = buffers.refusals().find(reason);
+    total("crocusdoor_memory_refusals_total",
+          "Requests refused and connections closed for lack of memory, by reason",
+          {{"reason", std::string(name)}})
+        .Set(found == buffers.refusals().end() ? 0 : static_cast<double>(found->second));
+  }
+}
+
 void metrics::set_link_traffic(const link_traffic& traffic) {
   for (const auto& [scope, amounts] : traffic.totals()) {
     for (const auto& [kind, sent] : amounts) {
--- a/Source/daemon/peer_mesh.cpp
+++ b/Source/daemon/peer_mesh.cpp
@@ -40,7 +40,7 @@
       callbacks_.make_hello, std::make_shared<std::uint64_t>(0), std::make_shared<link_traffic>(),
       std::make_shared<const wire::compact_codec>(settings_.frequent_texts),
       callbacks_.configuration_version, callbacks_.configuration_digest, callbacks_.load,
-      settings_.respond_to_heartbeats,
+      callbacks_.store_era, settings_.respond_to_heartbeats,
       while_alive([this](const auto& session, const wire::hello& greeting) {
         session_established(session, greeting);
       }),
@@ -293,6 +293,14 @@
   return total_of(closed_bytes_received_, &peer_link::bytes_received);
 }
 
+std::size_t peer_mesh::unsent_output() const {
+  std::size_t bytes = 0;
+  for (const auto& session : all_sessions()) {
+    bytes += session->link()->unsent_output();
+  }
+  return bytes;
+}
+
 std::size_t peer_mesh::links_with_responses() const {
   std::size_t count = 0;
   for (const auto& [peer, sessions] : sessions_) {
--- a/Source/daemon/peer_mesh.h
+++ b/Source/daemon/peer_mesh.h
@@ -65,6 +65,8 @@
     std::function<void(const instance_name&)> peer_replaced = nullptr;
     /// Load to report in heartbeats.
     std::function<std::optional<load_report>()> load = nullptr;
+    /// Era of the platform's store to report in heartbeats.
+    std::function<std::optional<std::uint64_t>()> store_era = nullptr;
     /// Called for each message, before it is dispatched, with the version that the sender reports.
     std::function<void(const instance_name&, version_number)> version_reported;
   };
@@ -102,6 +104,8 @@
   [[nodiscard]] const link_traffic& traffic() const noexcept { return *context_->traffic; }
   [[nodiscard]] std::uint64_t bytes_sent() const;
   [[nodiscard]] std::uint64_t bytes_received() const;
+  /// Bytes that wait in the buffers of all links.
+  [[nodiscard]] std::size_t unsent_output() const;
   /// Number of links whose peer has not acknowledged all responses sent to it.
   [[nodiscard]] std::size_t links_with_responses() const;
   [[nodiscard]] std::uint64_t refused_messages() const;
--- a/Source/quota/quota_pool.cpp
+++ b/Source/quota/quota_pool.cpp
@@ -13,7 +13,7 @@
 /// Time in which reports that arrived during a pause are read.
 constexpr duration outdated_reports_time = std::chrono::milliseconds(200);
 /// One report gets at most this part of the tokens that are left.
-constexpr double largest_grant = 0.5;
+constexpr double largest_grant = 0.75;
 
 double seconds(duration span) {
   return std::chrono::duration<double>(span).count();
@@ -101,13 +101,11 @@
   for (const wire::quota_demand& demand : report.demands) {
     const auto limit = limits_.find(demand.workspace);
     if (limit != limits_.end() && part_of(demand.workspace) == report.part) {
-      const auto [found, added] = part.pools.try_emplace(demand.workspace);
-      if (added) {
-        found->second.shared_s = part.shared_s;
-      }
-      update(part, found->second, limit->second, now);
+      // A workspace that is used for the first time has tokens for all the time of the members.
+      workspace_pool& pool = part.pools[demand.workspace];
+      update(part, pool, limit->second, now);
       grant.granted.push_back(
-          {demand.workspace, lend(part, found->second, limit->second, from, demand, valid_until)});
+          {demand.workspace, lend(part, pool, limit->second, from, demand, valid_until)});
     }
   }
   return grant;
--- a/Source/sidecar/configuration_exchange.h
+++ b/Source/sidecar/configuration_exchange.h
@@ -5,6 +5,7 @@
 #include "daemon/message_dispatcher.h"
 #include "mesh/watcher_group.h"
 #include "sidecar/configuration_follower.h"
+#include "sidecar/freshness_exchange.h"
 #include "wire/shared_message.h"
 
 namespace crocusdoor {
@@ -31,6 +32,8 @@
   /// Stops being a watcher, because this process is about to end.
   void leave() { group_.leave(); }
 
+  /// The store has gone back to an older copy.
+  void store_era_changed() { follower_.store_era_changed(); }
   /// A link to a peer is open, or the record of the peer has changed.
   void set_peer(const instance_name& peer, watcher_group::member description);
   void peer_lost(const instance_name& peer);
@@ -40,6 +43,8 @@
   [[nodiscard]] const route_table_pointer& current() const noexcept { return follower_.current(); }
   [[nodiscard]] std::uint64_t version() const noexcept { return follower_.version(); }
   [[nodiscard]] bool is_watcher() const { return group_.is_watcher(); }
+  /// Proofs that the current version is the newest one.
+  [[nodiscard]] freshness_exchange& freshness() noexcept { return freshness_; }
 
  private:
   void distribute(const configuration_change* change) const;
@@ -47,6 +52,7 @@
 
   watcher_group group_;
   handlers callbacks_;
+  freshness_exchange freshness_;
   configuration_follower follower_;
   /// Message with the current configuration for peers that request it, and its version.
   std::optional<wire::shared_message> message_;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -15,6 +15,7 @@
 
 constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
+constexpr int status_too_many_requests = 429;
 constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
@@ -31,6 +32,8 @@
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
 constexpr duration minimum_retry_after = std::chrono::milliseconds(50);
 constexpr duration unconfigured_retry_after = std::chrono::milliseconds(500);
+/// A request whose key only a newer configuration can have waits for this long for an answer.
+constexpr duration hold_limit = std::chrono::milliseconds(400);
 /// Usual time until a proof of the configuration is renewed.
 constexpr duration unproven_retry_after = std::chrono::milliseconds(500);
 
@@ -91,6 +94,10 @@
 void outbound_request::check_key() {
   const key_check result =
       crocusdoor::check_key(*configuration_, route_, authorization(), services_.proof());
+  if (result.decision == key_decision::unsettled && hold_for_proof()) {
+    return;
+  }
+  hold_timer_ = nullptr;
   if (result.decision != key_decision::admitted) {
     refuse_key(result.decision);
     return;
@@ -101,6 +108,24 @@
   check_quota();
 }
 
+bool outbound_request::hold_for_proof() {
+  const time_point now = shared_.loop.now();
+  if (!held_until_.has_value()) {
+    held_until_ = now + hold_limit;
+    hold_timer_ = shared_.loop.after(hold_limit, [weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self != nullptr && !self->finished_) {
+        self->refuse_key(key_decision::unsettled);
+      }
+    });
+  }
+  // The route is looked up again, because a newer version may have opened it.
+  return now < *held_until_ && services_.await_proof([self = shared_from_this()] {
+    if (!self->finished_ && self->find_route()) {
+      self->check_key();
+    }
+  });
+}
+
 void outbound_request::refuse_key(key_decision decision) {
   const std::optional<std::string_view> key = bearer_key(authorization());
   const bool denied = decision == key_decision::denied;
@@ -121,7 +146,27 @@
 }
 
 void outbound_request::check_quota() {
-  begin();
+  if (!workspace_.has_value()) {
+    begin();
+    return;
+  }
+  services_.quotas.decide(workspace_->name,
+                          [self = shared_from_this()](bool admitted, duration retry_after) {
+                            self->quota_decided(admitted, retry_after);
+                          });
+}
+
+void outbound_request::quota_decided(bool admitted, duration retry_after) {
+  if (finished_) {  // The caller has left, or its deadline has passed.
+    if (admitted) {
+      services_.quotas.give_back(workspace_->name);
+    }
+  } else if (admitted) {
+    holds_token_ = true;
+    begin();
+  } else {
+    refuse(status_too_many_requests, "quota_exceeded", retry_after);
+  }
 }
 
 void outbound_request::begin() {
@@ -188,10 +233,7 @@
     return;
   }
   const time_point now = shared_.loop.now();
-  const placement choice =
-      services_.upstreams.choose({service_, call_.work_class, route_.rank, tried_,
-                                  arrived_at_ + route_.latency_objective_ms - now, deadline_ - now},
-                                 now, shared_.random);
+  const placement choice = choose_upstream(now);
   expected_duration_ = choice.expected_response_time;
   if (!choice.instance.has_value()) {
     finish_without_upstream(choice);
@@ -205,6 +247,7 @@
   call_.attempt = static_cast<std::int32_t>(tried_.size());
   const std::size_t index = attempts_.size();
   attempts_.push_back({0, instance, now});
+  choose_version(attempts_[index]);
   services_.upstreams.attempt_started(instance);
   if (!crashes_.empty()) {
     services_.send_crash_counts(instance, crashes_);
@@ -216,6 +259,36 @@
                             });
 }
 
+placement outbound_request::choose_upstream(time_point now) {
+  placement_request request{
+      service_,
+      call_.work_class,
+      route_.rank,
+      tried_,
+      arrived_at_ + route_.latency_objective_ms - now,
+      deadline_ - now,
+      services_.rollouts.rule(service_, call_.work_class, tried_.empty(), now, shared_.random)};
+  placement choice = services_.upstreams.choose(request, now, shared_.random);
+  if (!choice.instance.has_value() && request.versions.use == version_rule::kind::few) {
+    request.versions = rollout_table::old_version_rule(request.versions);
+    choice = services_.upstreams.choose(request, now, shared_.random);
+  }
+  return choice;
+}
+
+void outbound_request::choose_version(attempt& started) {
+  const mesh_upstream* upstream = services_.upstreams.find(started.instance);
+  if (upstream != nullptr) {
+    started.version = upstream->version;
+    started.comparable = started.sent_at >= upstream->warm_at;
+  }
+  call_.target_version.reset();
+  if (services_.rollouts.find(service_) != nullptr) {
+    call_.target_version = started.version;
+  }
+  services_.rollouts.attempt_started(service_, started.version);
+}
+
 bool outbound_request::refuse_crashing() {
   if (shared_.crashes.empty()) {
     return false;
@@ -262,6 +335,8 @@
     quality = attempt_quality::failed;
   }
   services_.upstreams.attempt_ended(ended.instance, quality, shared_.loop.now());
+  record_version_outcome(ended, outcome, quality == attempt_quality::refused,
+                         quality == attempt_quality::failed);
   if (outcome.response.has_value()) {
     services_.upstreams.load_reported(ended.instance, outcome.response->load, shared_.loop.now());
     if (outcome.outcome == verdict::ran && outcome.response->status < status_server_error) {
@@ -273,6 +348,25 @@
   }
 }
 
+void outbound_request::record_version_outcome(const attempt& ended, const call_outcome& outcome,
+                                              bool refused, bool failed) {
+  rollout_table& rollouts = services_.rollouts;
+  rollouts.attempt_ended(service_, ended.version);
+  const duration waited = shared_.loop.now() - ended.sent_at;
+  // The loss of a machine or a link says nothing about the version.
+  if (refused || outcome.reason == call_router::link_lost_reason) {
+    return;
+  }
+  if (finished_ && outcome.outcome != verdict::ran) {
+    rollouts.attempt_abandoned(service_, ended.version, call_.work_class,
+                               shared_.loop.now() >= deadline_, waited);
+    return;
+  }
+  const duration time = outcome.response.has_value() ? duration(outcome.response->ran_us) : waited;
+  rollouts.outcome_observed(service_, ended.version, call_.work_class, failed, time,
+                            ended.comparable);
+}
+
 void outbound_request::attempt_ended(std::size_t index, const call_outcome& outcome) {
   attempts_[index].finished = true;
   record_quality(attempts_[index], outcome);
@@ -341,6 +435,9 @@
 void outbound_request::retry_or_finish(const call_outcome& outcome) {
   if (may_retry(outcome)) {
     shared_.counters.count_retry();
+    if (holds_token_ && arrivals_ > 0) {
+      services_.quotas.count_repeat(workspace_->name);
+    }
     send_attempt();
   } else {
     give_up(outcome.response.has_value() ? outcome.response->reason : outcome.reason,
@@ -391,15 +488,21 @@
 }
 
 void outbound_request::refuse(const std::string& reason, duration retry_after) {
+  refuse(status_unavailable, reason, retry_after);
+}
+
+void outbound_request::refuse(int status, const std::string& reason, duration retry_after) {
   shared_.counters.count_refusal(reason);
   http_response response;
-  response.status = status_unavailable;
+  response.status = status;
   // Randomised, so that callers that are refused at the same time do not retry at the same time.
   const duration spread = shared_.random.up_to(retry_after / 2 + duration(1));
   response.headers["Retry-After"] =
       seconds_text(std::max(retry_after, minimum_retry_after) + spread);
-  // Makes the caller retry on a new connection.
-  response.headers["Connection"] = "close";
+  if (status == status_unavailable) {
+    // Makes the caller retry on a new connection.
+    response.headers["Connection"] = "close";
+  }
   response.body = "not run: " + reason + "\n";
   finish(response, verdict::not_run, reason);
 }
@@ -452,6 +555,9 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
+  if (holds_token_ && outcome == verdict::not_run && !has_outstanding_attempt()) {
+    services_.quotas.give_back(workspace_->name);
+  }
   const duration took = shared_.loop.now() - arrived_at_;
   shared_.counters.count_caller_request(service_.str(), outcome, response.status);
   shared_.counters.observe_caller_latency(service_.str(), took);
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -24,6 +24,8 @@
     instance_name instance;
     time_point sent_at;
     bool finished = false;
+    std::string version;      ///< Of the upstream's target.
+    bool comparable = false;  ///< Whether the upstream had warmed up.
   };
 
   [[nodiscard]] bool find_route();
@@ -31,9 +33,13 @@
   void check_key();
   /// Ends a request whose key does not allow it to run, or may not do so any more.
   void refuse_key(key_decision decision);
+  /// Holds the request for a short time until it is known whether a newer version admits it.
+  /// Returns whether the request is held.
+  bool hold_for_proof();
   [[nodiscard]] const std::string& authorization() const;
   /// Counts the request against the quota of its workspace, then continues with `begin`.
   void check_quota();
+  void quota_decided(bool admitted, duration retry_after);
   /// Sends the first attempt.
   void begin();
   void prepare_call();
@@ -41,10 +47,15 @@
   void send_attempt();
   /// Ends the request if it has crashed the targets that have run it; returns whether it has ended.
   bool refuse_crashing();
+  [[nodiscard]] placement choose_upstream(time_point now);
+  /// Records the version to which the attempt is sent.
+  void choose_version(attempt& started);
   void finish_without_upstream(const placement& choice);
   /// Ends the request without a further attempt.
   void give_up(const std::string& reason, duration retry_after);
   void attempt_ended(std::size_t index, const call_outcome& outcome);
+  void record_version_outcome(const attempt& ended, const call_outcome& outcome, bool refused,
+                              bool failed);
   void record_quality(const attempt& ended, const call_outcome& outcome);
   [[nodiscard]] bool is_retryable_failure(const call_outcome& outcome) const;
   void retry_or_finish(const call_outcome& outcome);
@@ -55,6 +66,7 @@
   void cancel_attempts();
   void deliver(const wire::call_answer& upstream_response);
   void refuse(const std::string& reason, duration retry_after);
+  void refuse(int status, const std::string& reason, duration retry_after);
   void fail(int status, const std::string& reason);
   void log_attempt(std::size_t index, const call_outcome& outcome) const;
   void log_end(int status, verdict outcome, const std::string& reason, duration took) const;
@@ -73,7 +85,8 @@
   service_name service_;
   std::optional<wire::call_workspace> workspace_;
   wire::call call_;
-  request_identity identity_;         ///< Of `call_`.
+  bool holds_token_ = false;                       ///< Of the quota of the workspace.
+  request_identity identity_;                      ///< Of `call_`.
   std::vector<crash_count> crashes_;  ///< Counts of the request before the latest attempt.
   std::vector<attempt> attempts_;
   std::vector<instance_name> tried_;  ///< Upstreams of the attempts, in their order.
@@ -85,7 +98,9 @@
   /// Expected time until the response of the upstream chosen last.
   duration expected_duration_{0};
   bool finished_ = false;
+  std::optional<time_point> held_until_;
   timer_handle deadline_timer_;
+  timer_handle hold_timer_;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -10,6 +10,8 @@
 #include "mesh/route_table.h"
 #include "mesh/upstream_pool.h"
 #include "mesh/weighted_rotation.h"
+#include "rollout/rollout_table.h"
+#include "sidecar/quota_exchange.h"
 #include "sidecar/sidecar_context.h"
 
 namespace crocusdoor {
@@ -21,6 +23,8 @@
   upstream_pool& upstreams;
   weighted_rotation& rotation;
   std::map<service_name, retry_window>& retries;
+  rollout_table& rollouts;
+  quota_exchange& quotas;
   std::function<route_table_pointer()> configuration;
   /// Time at which this process ends; empty while it is not being stopped.
   std::function<std::optional<time_point>()> end_of_process;
@@ -30,6 +34,9 @@
   std::function<void(const instance_name&, const std::vector<crash_count>&)> send_crash_counts;
   /// What is proved about the current configuration now.
   std::function<configuration_proof()> proof;
+  /// Asks for a newer proof and calls the action once when the proof or the configuration has
+  /// changed. Returns false if too many requests wait already.
+  std::function<bool(std::function<void()>)> await_proof;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <utility>
 
+#include "core/rendezvous_hash.h"
 #include "sidecar/outbound_request.h"
 
 namespace crocusdoor {
@@ -34,6 +35,18 @@
 /// Delays of the event loop from this length on are logged, because callers notice them.
 constexpr duration long_loop_delay = std::chrono::milliseconds(250);
 
+/// After a change a daemon reports the era of the store to its peers for this long. All but those
+/// that cannot be reached have heard of it by then.
+constexpr duration era_report_time = std::chrono::minutes(1);
+
+/// Daemons that add a refused request to their entries after the store has gone back. One of them
+/// may have been lost at the same time without its peers having noticed.
+constexpr std::size_t crash_count_keepers = 2;
+
+/// Part of the bound on revocation that is left for the transit of a request and for differences
+/// between the rates of clocks.
+constexpr std::chrono::milliseconds revocation_margin{300};
+
 /// Interval of the log lines about the traffic to other daemons.
 constexpr duration traffic_log_interval = std::chrono::seconds(10);
 
@@ -41,6 +54,14 @@
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
 }
 
+freshness_limits proof_limits(const sidecar_bounds& bounds) {
+  freshness_limits limits;
+  if (bounds.fail_closed) {
+    limits.admission = bounds.revocation_ms - revocation_margin;
+  }
+  return limits;
+}
+
 /// A random number that, other than `random_source`, cannot be derived from what a process sends.
 std::uint64_t secret_seed() {
   std::random_device device;
@@ -51,7 +72,8 @@
 }  // namespace
 
 sidecar_daemon::sidecar_daemon(event_loop& loop, sidecar_settings options,
-                               platform_contract contract, std::unique_ptr<mesh_store> store)
+                               platform_contract contract, std::unique_ptr<mesh_store> store,
+                               std::unique_ptr<rollout_store> rollouts)
     : loop_(loop),
       options_(std::move(options)),
       contract_(std::move(contract)),
@@ -61,11 +83,23 @@
       random_(stable_hash(options_.instance.name.str(), start_incarnation())),
       log_(loop_, options_.instance.name.str(), options_.log, STDOUT_FILENO),
       start_(loop_, log_, counters_),
-      shared_{
-          loop_,    random_, options_,  contract_, retry_limit_,
-          crashes_, log_,    counters_, start_,    {options_.instance.name, start_incarnation()}},
+      buffers_(std::make_shared<buffer_manager>(
+          loop_, buffer_budget_bytes(options_.limits.memory_mb),
+          [this](const buffer_manager::refusal_counts& refusals) { log_memory(refusals); })),
+      shared_{loop_,
+              random_,
+              options_,
+              contract_,
+              retry_limit_,
+              crashes_,
+              log_,
+              counters_,
+              start_,
+              buffers_,
+              {options_.instance.name, start_incarnation()}},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
+  buffers_->set_link_output([this] { return mesh_->unsent_output(); });
   entry_ = std::make_unique<entry_writer>(shared_, *store_);
   crash_exchange_ = std::make_unique<crash_count_exchange>(
       shared_, *entry_, [this](const std::vector<crash_count>& counts) {
@@ -73,9 +107,19 @@
       });
   finder_ = std::make_unique<peer_finder>(
       shared_, *store_, *mesh_, [this](const daemon_listing& listing) { entries_listed(listing); });
+  quotas_ = std::make_unique<quota_exchange>(
+      shared_,
+      quota_exchange::handlers{[this] { return mesh_->linked_peers(); },
+                               [this](const instance_name& peer, const wire::message& content) {
+                                 return mesh_->send(peer, content);
+                               },
+                               [this] { return finder_->daemon_count(); },
+                               [this] { return finder_->listed(); }});
   configurations_ = std::make_unique<configuration_exchange>(
-      configuration_context{loop_, random_, log_, counters_, secret_seed()}, *store_,
-      watcher_group(options_.instance.name, options_.instance.domain),
+      configuration_context{loop_, random_, log_, counters_, secret_seed(),
+                            proof_limits(options_.bounds),
+                            [] { return time_point(event_loop::since_boot()); }},
+      *store_, watcher_group(options_.instance.name, options_.instance.domain),
       configuration_exchange::handlers{
           [this](const route_table_pointer& table) { configuration_adopted(table); },
           [this](const instance_name& peer, const wire::shared_message& content) {
@@ -106,6 +150,15 @@
           },
           [this] { return configurations_->current(); },
           [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); }});
+  rollouts_ = std::make_unique<rollout_service>(
+      shared_, std::move(rollouts), rollout_table_, upstreams_,
+      rollout_service::handlers{
+          [this](const instance_name& to, const wire::message& content) {
+            mesh_->send(to, content);
+          },
+          [this](const wire::message& content) { mesh_->send_to_all(content); },
+          [this] { return mesh_->linked_peers(); }, [this] { return finder_->daemon_count(); },
+          [this] { return finder_->listed() && !stop_->begun(); }});
   router_ = std::make_unique<call_router>(
       loop_, shared_.self, *mesh_,
       call_router::handlers{[this](const wire::call& request) {
@@ -120,7 +173,7 @@
                               call_cancelled(to, id, sent);
                             }});
   services_ = std::make_unique<outbound_services>(outbound_services{
-      shared_, *router_, upstreams_, rotation_, retries_,
+      shared_, *router_, upstreams_, rotation_, retries_, rollout_table_, *quotas_,
       [this] { return configurations_->current(); }, [this] { return stop_->end_of_process(); },
       [this] { return finder_->daemon_count(); },
       [this](const instance_name& to, const std::vector<crash_count>& counts) {
@@ -128,26 +181,35 @@
           mesh_->send(to, wire::suspicions{{}, counts});
         }
       },
-      [] { return configuration_proof{}; }});
+      [this] { return configurations_->freshness().proof(); },
+      [this](std::function<void()> action) {
+        return configurations_->freshness().await_change(std::move(action));
+      }});
   connect_dispatcher();
+  store_->on_new_era([this](const era_change& change) { store_era_changed(change); });
   callers_ = std::make_unique<http_server>(
-      loop_, options_.listen.callers, [this](const std::shared_ptr<http_exchange>& exchange) {
+      loop_, options_.listen.callers,
+      [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
-      });
+      },
+      http_server_limits{}, buffers_);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
-      [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); });
+      [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); },
+      http_server_limits{}, buffers_);
   suspicion_api_ = std::make_unique<suspicion_api>(
       shared_,
       [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); });
   metrics_server_ = std::make_unique<http_server>(
-      loop_, options_.listen.metrics, [this](const std::shared_ptr<http_exchange>& exchange) {
+      loop_, options_.listen.metrics,
+      [this](const std::shared_ptr<http_exchange>& exchange) {
         if (exchange->request().target.starts_with(api_prefix)) {
           suspicion_api_->answer(exchange);
         } else {
           answer_metrics(*exchange);
         }
-      });
+      },
+      http_server_limits{}, buffers_);
   registration_ = std::make_unique<registration_server>(shared_, *gateway_, *entry_);
   stop_ = std::make_unique<planned_stop>(
       planned_stop::context{loop_, log_, *callers_, registration_->server(), gateway_->work(),
@@ -155,7 +217,9 @@
       options_.bounds.stop_s);
 }
 
-sidecar_daemon::~sidecar_daemon() = default;
+sidecar_daemon::~sidecar_daemon() {
+  buffers_->stop();
+}
 
 peer_mesh::configuration sidecar_daemon::mesh_settings() const {
   const exchange_headers& headers = contract_.headers;
@@ -207,9 +271,14 @@
   callbacks.configuration_version = [this] { return configurations_->version(); };
   callbacks.configuration_digest = [] { return digest(); };
   callbacks.load = [this] { return std::optional(gateway_->work().load()); };
+  callbacks.store_era = [this] {
+    return loop_.now() < era_reported_until_ ? store_->era() : std::nullopt;
+  };
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
     peer_introduced(peer, greeting.self);
+    // Before the record below, from which on the peer sends requests here.
+    rollouts_->peer_established(peer);
     // The hello of this daemon may be older than its latest change of state, which was sent only
     // over links that were established then.
     mesh_->send(peer, wire::records{{self_record()}});
@@ -239,6 +308,7 @@
   callbacks.peer_replaced = [this](const instance_name& peer) { finder_->forget(peer); };
   callbacks.version_reported = [this](const instance_name& peer, version_number version) {
     configurations_->version_seen(peer, version);
+    quotas_->version_reported(peer, version);
   };
   return callbacks;
 }
@@ -270,8 +340,11 @@
     if (heartbeat.load.has_value()) {
       upstreams_.load_reported(from, *heartbeat.load, loop_.now());
     }
+    store_->peer_reported_era(heartbeat.store_era);
   });
   configurations_->connect(dispatcher);
+  rollouts_->connect(dispatcher);
+  quotas_->connect(dispatcher);
 }
 
 void sidecar_daemon::start() {
@@ -283,10 +356,24 @@
   configurations_->start();
   finder_->start();
   crash_exchange_->start();
+  rollouts_->start();
   traffic_log_timer_ = loop_.every(traffic_log_interval, [this] { log_traffic(); });
   measure_loop_delay();
 }
 
+void sidecar_daemon::log_memory(const buffer_manager::refusal_counts& refusals) {
+  nlohmann::json refused = nlohmann::json::object();
+  for (const auto& [reason, count] : refusals) {
+    refused[std::string(to_string(reason))] = count;
+  }
+  nlohmann::json bytes = nlohmann::json::object();
+  for (const auto& [kind, name] : enum_names<buffer_kind>::names) {
+    bytes[std::string(name)] = buffers_->account()->bytes(kind);
+  }
+  log_.warning("memory_limited",
+               {{"refused", refused}, {"bytes", bytes}, {"budget", buffers_->account()->budget()}});
+}
+
 void sidecar_daemon::log_traffic() {
   for (const auto& [scope, amounts] : mesh_->traffic().totals()) {
     nlohmann::json kinds = nlohmann::json::object();
@@ -333,7 +420,14 @@
   if (finder_->listed() && links + 1 >= finder_->daemon_count()) {
     start_.reached(start_phase::all_links);
   }
-  record_received(peer, record);
+  instance_record introduced = record;
+  if (options_.bounds.exposure_share > 0 && record.state == instance_state::ready &&
+      upstreams_.find(peer) == nullptr) {
+    // The peer's rollouts follow, and then its record again: no request may go to its target
+    // without knowing them.
+    introduced.state = instance_state::starting;
+  }
+  record_received(peer, introduced);
   gateway_->work().peer_established(peer, record.incarnation);
 }
 
@@ -346,9 +440,10 @@
   }
   newest = order;
   configurations_->set_peer(peer, {record.domain, record.state == instance_state::draining});
+  quotas_->set_peer(peer, record.state == instance_state::draining);
   upstreams_.set_upstream({peer, record.service, record.domain, record.slots,
                            record.state == instance_state::ready,
-                           loop_.now() + record.warmup_left_ms});
+                           loop_.now() + record.warmup_left_ms, record.target_version});
 }
 
 /// Restores what the entries have kept over a restart of all daemons. A daemon that the store turns
@@ -396,10 +491,34 @@
   log_.warning("peer_lost", {{"peer", peer.str()}, {"reason", reason}});
   counters_.linked_peers().Set(static_cast<double>(mesh_->linked_peers().size()));
   configurations_->peer_lost(peer);
+  quotas_->peer_lost(peer);
   upstreams_.remove(peer);
   router_->peer_lost(peer);
 }
 
+void sidecar_daemon::store_era_changed(const era_change& change) {
+  log_.warning("store_era_changed", {{"previous", change.previous},
+                                     {"era", change.era},
+                                     {"origin", change.from_peer ? "peer" : "store"},
+                                     {"version", configurations_->version()}});
+  era_reported_until_ = loop_.now() + era_report_time;
+  configurations_->store_era_changed();
+  // The copy may lack a version that removes keys.
+  configurations_->freshness().distrust_store();
+  entry_->store_era_changed();
+  finder_->store_era_changed();
+  crash_exchange_->store_era_changed([this](const digest& request) {
+    std::vector<instance_name> daemons = mesh_->linked_peers();
+    daemons.push_back(shared_.self.name);
+    const std::vector<instance_name> keepers =
+        top_by_rendezvous(request.str(), std::move(daemons), crash_count_keepers);
+    return std::find(keepers.begin(), keepers.end(), shared_.self.name) != keepers.end();
+  });
+  if (!change.from_peer) {
+    mesh_->announce_version();
+  }
+}
+
 void sidecar_daemon::call_cancelled(const instance_name& to, wire::request_id id, bool sent) {
   counters_.count_cancellation(sent ? "sent" : "not_sent");
   if (!sent) {
@@ -415,7 +534,8 @@
     start_.reached(start_phase::target_known);
   }
   upstreams_.set_upstream({self.name, self.service, self.domain, self.slots,
-                           self.state == instance_state::ready, loop_.now() + self.warmup_left_ms});
+                           self.state == instance_state::ready, loop_.now() + self.warmup_left_ms,
+                           self.target_version});
   mesh_->send_to_all(wire::records{{self}});
 }
 
@@ -428,6 +548,7 @@
   server_limits.header_timeout = limits.header_timeout_ms;
   server_limits.idle_timeout = limits.idle_timeout_ms;
   callers_->set_limits(server_limits);
+  quotas_->configure(table->content());
   gateway_->probe_target();
 }
 
@@ -452,11 +573,26 @@
   counters_
       .total("crocusdoor_crashing_requests", "Requests refused because they have crashed targets")
       .Set(static_cast<double>(crashes_.refused(loop_.now())));
+  counters_.total("crocusdoor_store_era", "Newest known era of the platform's store; -1 if unknown")
+      .Set(store_->era().has_value() ? static_cast<double>(*store_->era()) : -1.0);
+  counters_
+      .total("crocusdoor_store_outdated_responses",
+             "Responses of the store that were ignored because their era was over")
+      .Set(static_cast<double>(store_->outdated_responses()));
   counters_.total("crocusdoor_log_lines_dropped", "Log lines beyond the budget")
       .Set(static_cast<double>(log_.dropped()));
   counters_.total("crocusdoor_target_connections_opened", "Connections opened to the target")
       .Set(static_cast<double>(gateway_->connections_opened()));
+  rollouts_->update_metrics();
+  if (configurations_->freshness().enabled()) {
+    const std::optional<duration> age = configurations_->freshness().age();
+    counters_
+        .total("crocusdoor_configuration_proof_age_seconds",
+               "Time since the configuration was proved to be the newest one; -1 without a proof")
+        .Set(age.has_value() ? std::chrono::duration<double>(*age).count() : -1);
+  }
   counters_.set_link_traffic(mesh_->traffic());
+  counters_.set_buffers(*buffers_);
   counters_
       .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
       .Set(static_cast<double>(callers_->unsent().bytes));
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -11,7 +11,9 @@
 #include "sidecar/outbound_services.h"
 #include "sidecar/peer_finder.h"
 #include "sidecar/planned_stop.h"
+#include "sidecar/quota_exchange.h"
 #include "sidecar/registration_server.h"
+#include "sidecar/rollout_service.h"
 #include "sidecar/sidecar_context.h"
 #include "sidecar/suspicion_api.h"
 #include "transport/http_server.h"
@@ -23,7 +25,8 @@
  public:
   /// Throws std::runtime_error if an address cannot be bound.
   sidecar_daemon(event_loop& loop, sidecar_settings options, platform_contract contract,
-                 std::unique_ptr<mesh_store> store);
+                 std::unique_ptr<mesh_store> store,
+                 std::unique_ptr<rollout_store> rollouts = nullptr);
   ~sidecar_daemon();
   sidecar_daemon(const sidecar_daemon&) = delete;
   sidecar_daemon& operator=(const sidecar_daemon&) = delete;
@@ -43,6 +46,10 @@
   [[nodiscard]] bool ready() const;
   /// 0 before the first configuration.
   [[nodiscard]] std::uint64_t configuration_version() const { return configurations_->version(); }
+  /// Whether requests with the API keys of the configuration run.
+  [[nodiscard]] bool proves_configuration() const {
+    return configurations_->freshness().proof().admits;
+  }
   /// Upstreams of a service that take requests, as this daemon knows them.
   [[nodiscard]] std::size_t available_upstreams(const service_name& service) const {
     return upstreams_.available(service);
@@ -52,6 +59,8 @@
   }
   /// Whether this daemon waits for changes at the store and forwards them.
   [[nodiscard]] bool is_watcher() const { return configurations_->is_watcher(); }
+  /// Whether this daemon decides on the rollouts.
+  [[nodiscard]] bool decides_rollouts() const { return rollouts_->decides(); }
   [[nodiscard]] const ip_endpoint& peer_endpoint() const { return options_.listen.peers; }
 
  private:
@@ -66,11 +75,13 @@
   bool departure_received(const wire::target_departed& content);
   void send_departures(const instance_name& peer, const instance_name& instance);
   void peer_lost(const instance_name& peer, const std::string& reason);
+  void store_era_changed(const era_change& change);
   void call_cancelled(const instance_name& to, wire::request_id id, bool sent);
   void status_changed();
   void configuration_adopted(const route_table_pointer& table);
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
+  void log_memory(const buffer_manager::refusal_counts& refusals);
   void log_traffic();
   void measure_loop_delay();
 
@@ -84,6 +95,7 @@
   crash_counts crashes_;
   decision_log log_;
   start_timeline start_;
+  std::shared_ptr<buffer_manager> buffers_;
   sidecar_context shared_;
   upstream_pool upstreams_;
   weighted_rotation rotation_;
@@ -92,8 +104,11 @@
   std::unique_ptr<entry_writer> entry_;
   std::unique_ptr<crash_count_exchange> crash_exchange_;
   std::unique_ptr<peer_finder> finder_;
+  std::unique_ptr<quota_exchange> quotas_;
   std::unique_ptr<configuration_exchange> configurations_;
   std::unique_ptr<inbound_gateway> gateway_;
+  rollout_table rollout_table_;
+  std::unique_ptr<rollout_service> rollouts_;
   std::unique_ptr<call_router> router_;
   std::unique_ptr<outbound_services> services_;
   std::unique_ptr<http_server> callers_;
@@ -108,6 +123,7 @@
   /// Departures of the target beside each instance, including this one.
   std::map<instance_name, target_departures> departures_;
   std::uint64_t record_sequence_ = 1;
+  time_point era_reported_until_{};  ///< Heartbeats state the era of the store until then.
   timer_handle traffic_log_timer_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -32,7 +32,8 @@
   static constexpr auto table =
       std::make_tuple(required_field("sequence", &wire::heartbeat::sequence),
                       required_field("digest", &wire::heartbeat::configuration_digest),
-                      optional_field("load", &wire::heartbeat::load));
+                      optional_field("load", &wire::heartbeat::load),
+                      optional_field("store_era", &wire::heartbeat::store_era));
 };
 
 template <>
@@ -101,7 +102,8 @@
   static constexpr auto table = std::make_tuple(
       required_field("id", &wire::call_answer::id),
       required_field("outcome", &wire::call_answer::outcome),
-      required_field("status", &wire::call_answer::status, {0, 999}),
+      // Not restricted, so that an invalid status ends the call instead of losing the message.
+      required_field("status", &wire::call_answer::status),
       required_field("headers", &wire::call_answer::headers),
       required_field("body", &wire::call_answer::body),
       optional_field("reason", &wire::call_answer::reason),
@@ -274,7 +276,8 @@
       required_field("work_class", &record::work_class),
       required_field("new_version", &record::new_version),
       required_field("requests", &record::requests), required_field("failures", &record::failures),
-      required_field("total_time_us", &record::total_time_us));
+      required_field("total_time_us", &record::total_time_us),
+      optional_field("slow", &record::slow));
 };
 
 template <>
@@ -284,7 +287,10 @@
       required_field("service", &record::service),
       required_field("target_version", &record::target_version),
       required_field("order", &record::order), required_field("sent", &record::sent),
-      required_field("outcomes", &record::outcomes));
+      required_field("outcomes", &record::outcomes),
+      optional_field("permille", &record::permille, {0, 1'000}),
+      optional_field("running_old", &record::running_old),
+      optional_field("running_new", &record::running_new));
 };
 
 }  // namespace crocusdoor
--- a/Tests/sidecar/configuration_model.cpp
+++ b/Tests/sidecar/configuration_model.cpp
@@ -16,6 +16,11 @@
 /// Limit on the time from the acknowledgement of a version by the store until it is current.
 constexpr duration adoption_limit = seconds(2);
 constexpr duration extra_limit_without_history = seconds(5);
+/// Limit on the time until a version that only daemons still hold has reached another daemon.
+constexpr duration peer_adoption_limit = seconds(4);
+/// Limit on the time from the acknowledgement of a version by the store until no key that it
+/// removes is admitted any more.
+constexpr duration revocation_limit = seconds(5);
 constexpr duration heartbeat_interval = milliseconds(250);
 constexpr duration silence_limit = milliseconds(800);
 constexpr duration link_check_interval = milliseconds(50);
@@ -30,8 +35,13 @@
 
 }  // namespace
 
-configuration_model::configuration_model(std::uint64_t seed) : random_(seed) {
-  const std::size_t per_domain = 3 + random_.index(3);
+configuration_model::configuration_model(std::uint64_t seed, fleet_options options)
+    : random_(seed) {
+  const std::size_t random_size = 3 + random_.index(3);
+  const std::size_t per_domain = options.per_domain == 0 ? random_size : options.per_domain;
+  if (options.workspaces) {
+    store_.use_workspaces();
+  }
   for (std::size_t domain = 0; domain < domain_count; ++domain) {
     for (std::size_t number = 0; number < per_domain; ++number) {
       add_instance(domain, number);
@@ -70,6 +80,7 @@
   positions_[name] = position;
   isolated_until_.emplace_back();
   disturbed_until_.emplace_back();
+  adoptions_.emplace_back();
 }
 
 configuration_model::ends configuration_model::ends_of(std::size_t first, std::size_t second) {
@@ -92,12 +103,13 @@
   const bool same_domain = sender.domain() == processes_[receiver]->domain();
   const auto copy = content == nullptr ? nullptr : std::make_shared<const wire::message>(*content);
   const std::uint64_t version = sender.version();
+  const std::uint64_t era = sender.reported_era();
   processes_[receiver]->run_after(
       same_domain ? own_domain_delay : other_domain_delay,
-      [this, &connection, link_ends, receiver, name = sender.name(), version, copy] {
+      [this, &connection, link_ends, receiver, name = sender.name(), version, era, copy] {
         if (connection.open) {
           connection.last_received_at.at(receiver == link_ends.first ? 0 : 1) = timers_.now();
-          processes_[receiver]->receive(name, version, copy.get());
+          processes_[receiver]->receive(name, version, era, copy.get());
         }
       });
 }
@@ -130,6 +142,7 @@
 
 void configuration_model::open(const ends& link_ends, link& connection) {
   connection.open = true;
+  connection.opened_at = timers_.now();
   connection.silent = false;
   connection.last_received_at = {timers_.now(), timers_.now()};
   connection.starts = {processes_[link_ends.first]->starts(),
@@ -291,6 +304,37 @@
   timers_.post(span, [this] { store_.set_latency(milliseconds(4)); });
 }
 
+void configuration_model::go_back(std::size_t lost, bool interrupts_watches,
+                                  duration repeat_after) {
+  faults_.emplace_back("the store goes back");
+  if (!interrupts_watches) {
+    // Daemons hear of the new era only when the first watch ends.
+    history_lost_until_ = std::max(history_lost_until_, timers_.now() + settling_time);
+  }
+  const std::vector<std::uint64_t> versions = store_.go_back(lost, interrupts_watches);
+  for (const duration at : {milliseconds(100), milliseconds(400), milliseconds(1'500)}) {
+    timers_.post(at, [this] { store_.write_others(1 + random_.index(6)); });
+  }
+  timers_.post(repeat_after, [this, versions] {
+    for (const std::uint64_t version : versions) {
+      if (version > store_.version_acknowledged_by(timers_.now())) {
+        store_.write(version);
+      }
+    }
+  });
+}
+
+void configuration_model::restore_older_copy(duration span) {
+  faults_.emplace_back("the store is restored from an older copy");
+  store_.restore_older_copy();
+  timers_.post(span, [this] { store_.write(version_); });
+}
+
+std::size_t configuration_model::admitting() const {
+  return static_cast<std::size_t>(std::count_if(
+      processes_.begin(), processes_.end(), [](const auto& process) { return process->admits(); }));
+}
+
 std::vector<std::size_t> configuration_model::domain(std::size_t index) const {
   std::vector<std::size_t> found;
   for (std::size_t instance = 0; instance < size(); ++instance) {
@@ -329,7 +373,7 @@
 
 void configuration_model::inject_fault() {
   const duration span = random_duration(seconds(2), seconds(9));
-  switch (random_.index(11)) {
+  switch (random_.index(12)) {
     case 0:
       write_series(random_duration(seconds(3), seconds(5)),
                    random_duration(milliseconds(160), milliseconds(400)));
@@ -378,6 +422,9 @@
     case 9:
       forget_history(seconds(1));
       break;
+    case 10:
+      go_back(1 + random_.index(8), random_.index(2) == 0, random_duration(seconds(1), seconds(6)));
+      break;
     default:
       slow_store(span);
       break;
@@ -421,8 +468,49 @@
   return false;
 }
 
+void configuration_model::record_versions() {
+  for (std::size_t i = 0; i < size(); ++i) {
+    auto& adoptions = adoptions_[i];
+    const std::uint64_t version = processes_[i]->version();
+    if (!adoptions.empty() && version < adoptions.back().second) {
+      adoptions.clear();  // The process has ended.
+    }
+    if (version > 0 && (adoptions.empty() || adoptions.back().second < version)) {
+      adoptions.emplace_back(timers_.now(), version);
+    }
+  }
+}
+
+void configuration_model::check_keys() {
+  const std::uint64_t required = store_.version_acknowledged_by(timers_.now() - revocation_limit);
+  for (const auto& process : processes_) {
+    if (!revoked_.has_value() && process->admits() && process->version() < required) {
+      revoked_ =
+          late_version{process->name(), process->version(), required, timers_.now() - time_point{}};
+    }
+  }
+}
+
+std::uint64_t configuration_model::version_of_peers(std::size_t instance) const {
+  const time_point since = timers_.now() - peer_adoption_limit;
+  std::uint64_t newest = 0;
+  for (std::size_t peer = 0; peer < size(); ++peer) {
+    if (peer == instance || timers_.now() < disturbed_until_[peer] || !reachable(peer)) {
+      continue;
+    }
+    const link& connection = links_.at(ends_of(instance, peer));
+    const bool carries = connection.open && !connection.silent && connection.opened_at <= since;
+    for (const auto& [adopted_at, version] : adoptions_[peer]) {
+      newest = carries && adopted_at <= since ? std::max(newest, version) : newest;
+    }
+  }
+  return newest;
+}
+
 void configuration_model::check() {
+  record_versions();
   const time_point now = timers_.now();
+  check_keys();
   for (std::size_t i = 0; i < size(); ++i) {
     if (!can_receive_versions(i)) {
       disturb(i, duration::zero());
@@ -436,7 +524,8 @@
   const std::uint64_t acknowledged = store_.version_acknowledged_by(now - bound);
   for (std::size_t i = 0; i < size(); ++i) {
     const model_process& process = *processes_[i];
-    const std::uint64_t expected = std::max(acknowledged, process.highest_version());
+    const std::uint64_t expected =
+        std::max({acknowledged, process.highest_version(), reachable(i) ? version_of_peers(i) : 0});
     if (process.running() && now >= disturbed_until_[i] && process.version() < expected) {
       late_ = late_version{process.name(), process.version(), expected, now - time_point{}};
     }
--- a/Tests/sidecar/model_process.cpp
+++ b/Tests/sidecar/model_process.cpp
@@ -26,8 +26,9 @@
   store_client_ = std::make_unique<model_store_client>(environment_.store, *timers_, name_);
   dispatcher_ = std::make_unique<message_dispatcher>();
   exchange_ = std::make_unique<configuration_exchange>(
-      configuration_context{*timers_, random_, *log_, counters_}, *store_client_,
-      watcher_group(name_, domain_),
+      configuration_context{
+          *timers_, random_, *log_, counters_, 0, {admission_limit, std::chrono::seconds(1)}},
+      *store_client_, watcher_group(name_, domain_),
       configuration_exchange::handlers{[this](const route_table_pointer& table) {
                                          highest_version_ =
                                              std::max(highest_version_, table->version());
@@ -36,6 +37,11 @@
                                          environment_.send(to, message.content());
                                        },
                                        environment_.announce_version});
+  reported_era_ = 0;
+  store_client_->on_new_era([this](const era_change& change) {
+    reported_era_ = change.era;
+    exchange_->store_era_changed();
+  });
   exchange_->connect(*dispatcher_);
   exchange_->start();
 }
@@ -66,8 +72,9 @@
   }
 }
 
-void model_process::receive(const instance_name& from, std::uint64_t version,
+void model_process::receive(const instance_name& from, std::uint64_t version, std::uint64_t era,
                             const wire::message* content) {
+  store_client_->peer_reported_era(era == 0 ? std::nullopt : std::optional(era));
   exchange_->version_seen(from, version);
   if (content != nullptr) {
     dispatcher_->dispatch(from, *content);
