--- a/Tests/daemon/target_client_test.cpp
+++ b/Tests/daemon/target_client_test.cpp
@@ -106,7 +106,7 @@
   settings options;
   options.target.address = "127.0.0.1";
   options.target.port = server.port();
-  const daemon_context shared{loop, random, options, counters, traces, 1};
+  const daemon_context shared{loop, random, options, counters, traces, nullptr, 1};
   target_client client(shared);
   wire::call_answer received;
   client.send({.method = "GET", .path = "/"}, loop.now() + milliseconds(500),
