List the orders again after a new era of the store

Cause, found in review: the client of rollouts does not learn of a new era from mesh_store. A watch went on over revisions that are assigned again, a lost status was not written again, and a listing that was overtaken could start an old order as a new one. Change: the deciding daemon lists the orders at a new era, ignores listings of older ones and results of calls that were replaced, and waits after a 410. A watch takes 5 s instead of 20 s, because an order is unknown while the connection of the watch does not respond.

--- a/Source/rollout/rollout_decider.cpp
+++ b/Source/rollout/rollout_decider.cpp
@@ -58,7 +58,7 @@
     const bool same_spec = known.run.order().target_version == order.target_version &&
                            known.run.order().span == order.span;
     const bool restored = era != known.era;
-    if (same_spec && !restored && order.revision < known.run.order().revision) {
+    if (!restored && order.revision < known.run.order().revision) {
       return;  // A response that was overtaken by a later one.
     }
     if (same_spec &&
--- a/Source/sidecar/rollout_service.cpp
+++ b/Source/sidecar/rollout_service.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr duration check_interval = std::chrono::milliseconds(100);
-constexpr duration watch_duration = std::chrono::seconds(20);
+/// Bounds the time until a new order is known if the connection of a watch no longer responds.
+constexpr duration watch_duration = std::chrono::seconds(5);
 constexpr duration first_retry_delay = std::chrono::milliseconds(200);
 constexpr duration maximum_retry_delay = std::chrono::seconds(2);
 /// Smaller changes of a share are not logged.
@@ -136,37 +137,54 @@
 
 void rollout_service::end_deciding() {
   ++round_;
+  ++reads_;
   retry_timer_ = nullptr;
   store_->end_watch();
   decider_.clear();
 }
 
+void rollout_service::store_era_changed(std::uint64_t era) {
+  era_ = std::max(era_, era);
+  if (deciding_) {
+    store_->end_watch();
+    retry_timer_ = nullptr;
+    list();
+  }
+}
+
+bool rollout_service::is_outdated(const rollout_listing& listing) const {
+  return listing.era != 0 && listing.era < era_;
+}
+
 void rollout_service::list() {
   store_->list_orders(
-      [this, round = round_](const rollout_listing& listing) { read_ended(round, listing, true); });
+      [this, read = ++reads_](const rollout_listing& listing) { read_ended(read, listing, true); });
 }
 
 void rollout_service::watch() {
   store_->watch_orders(revision_, watch_duration,
-                       [this, round = round_](const rollout_listing& listing) {
-                         read_ended(round, listing, false);
+                       [this, read = ++reads_](const rollout_listing& listing) {
+                         read_ended(read, listing, false);
                        });
 }
 
-void rollout_service::read_ended(std::uint64_t round, const rollout_listing& listing, bool listed) {
-  if (round != round_ || !deciding_) {
+void rollout_service::read_ended(std::uint64_t read, const rollout_listing& listing, bool listed) {
+  if (read != reads_ || !deciding_) {
     return;
   }
-  if (listing.outcome == store_outcome::history_gone && !listed) {
-    list();
-    return;
-  }
-  if (listing.outcome != store_outcome::done) {
+  if (listing.outcome != store_outcome::done || is_outdated(listing)) {
     retry_delay_ = std::clamp(retry_delay_ * 2, first_retry_delay, maximum_retry_delay);
     retry_timer_ = shared_.loop.after(retry_delay_, [this] { list(); });
     return;
   }
   retry_delay_ = duration::zero();
+  const bool new_era = listing.era > era_;
+  era_ = std::max(era_, listing.era);
+  if (new_era && !listed) {
+    // Revisions that are assigned again hide changes from a watch.
+    list();
+    return;
+  }
   revision_ = listing.revision;
   if (listing.unreadable_orders > 0) {
     shared_.log.warning("rollouts_unreadable", {{"orders", listing.unreadable_orders}});
@@ -200,7 +218,7 @@
       // The object has changed, or the write may have been executed: the single read below returns
       // what it is now, while the watch goes on.
       store_->list_orders([this, round](const rollout_listing& listing) {
-        if (round == round_ && listing.outcome == store_outcome::done) {
+        if (round == round_ && listing.outcome == store_outcome::done && !is_outdated(listing)) {
           for (const rollout_order& order : listing.orders) {
             decider_.order_read(order, listing.era, table_.find(order.service), shared_.loop.now());
           }
--- a/Source/sidecar/rollout_service.h
+++ b/Source/sidecar/rollout_service.h
@@ -34,6 +34,9 @@
   void connect(message_dispatcher& dispatcher);
   /// A link to a peer is open; the peer may not know the rollouts.
   void peer_established(const instance_name& peer);
+  /// The store has gone back to an older copy: statuses may be lost, and a watch may miss changes,
+  /// so the orders are listed again.
+  void store_era_changed(std::uint64_t era);
   [[nodiscard]] bool decides() const noexcept { return deciding_; }
   /// Sets the gauges of the rollouts at the time of a scrape.
   void update_metrics();
@@ -44,7 +47,9 @@
   void end_deciding();
   void list();
   void watch();
-  void read_ended(std::uint64_t round, const rollout_listing& listing, bool listed);
+  void read_ended(std::uint64_t read, const rollout_listing& listing, bool listed);
+  /// Whether the listing is from an older era of the store than the newest one known.
+  [[nodiscard]] bool is_outdated(const rollout_listing& listing) const;
   void state_received(const instance_name& from, const wire::rollout_state& state);
   void write(const rollout_status_write& request);
   void log_phase(const wire::rollout_state& state);
@@ -59,6 +64,8 @@
   /// Counts the periods in which this daemon decides; responses to calls of earlier ones are
   /// dropped.
   std::uint64_t round_ = 0;
+  std::uint64_t reads_ = 0;  ///< Lists and watches so far; results of earlier ones are dropped.
+  std::uint64_t era_ = 0;    ///< Newest era of the store; 0 if it is not known.
   std::uint64_t revision_ = 0;
   duration retry_delay_{0};
   std::map<service_name, std::int32_t> logged_permille_;
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -507,6 +507,7 @@
   configurations_->freshness().distrust_store();
   entry_->store_era_changed();
   finder_->store_era_changed();
+  rollouts_->store_era_changed(change.era);
   crash_exchange_->store_era_changed([this](const digest& request) {
     std::vector<instance_name> daemons = mesh_->linked_peers();
     daemons.push_back(shared_.self.name);
