Keep proofs and tokens right after a pause, a loss of trust and a departure

Cause, found in review: the store was trusted again 250 ms after it had shown an older version, although peers could be asked; a report that was read after a pause of the process reached an outdated pool; the token of a caller that left before its request was sent was lost. Change: peers get the same 2 s as after the start; the pool learns of the pause first; the token goes back.

--- a/Source/sidecar/freshness_exchange.cpp
+++ b/Source/sidecar/freshness_exchange.cpp
@@ -76,7 +76,12 @@
 }
 
 void freshness_exchange::proved_by_store(std::uint64_t version, time_point at) {
+  const bool trusted = proof_.trusts_store();
   proof_.proved_by_store(version, at);
+  if (trusted && !proof_.trusts_store()) {
+    // Peers get the same time to answer as after the start before the store counts without them.
+    distrusted_at_ = callbacks_.now();
+  }
   changed();
 }
 
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -462,6 +462,9 @@
   }
   finished_ = true;
   deadline_timer_ = nullptr;
+  if (holds_token_ && outcome_so_far_ == verdict::not_run && !has_outstanding_attempt()) {
+    services_.quotas.give_back(workspace_->name);
+  }
   shared_.counters.count_departed_caller(attempts_.empty() ? "unread" : "waiting");
   shared_.log.request(log_level::info, "caller_gone",
                       {{"request", attempt_id_},
--- a/Source/sidecar/quota_exchange.cpp
+++ b/Source/sidecar/quota_exchange.cpp
@@ -140,6 +140,10 @@
 }
 
 void quota_exchange::report_received(const instance_name& from, const wire::quota_report& report) {
+  if (used_) {
+    // After a pause of the process, a report may be read before the timer has run.
+    pool_.tick(shared_.loop.now());
+  }
   const auto grant = pool_.receive(from, report, shared_.loop.now());
   if (!grant.has_value()) {
     return;
