Serve small requests while other buffers use up the budget

Cause, found in review: with a budget that links or responses had used up alone, each incomplete request was refused, however small. Change: a small request is refused only if the incomplete requests together reach into the budget.

--- a/Source/transport/read_schedule.cpp
+++ b/Source/transport/read_schedule.cpp
@@ -63,6 +63,10 @@
   if (total >= account.limited_from()) {
     decision.silent = refuse_silent(requests, account, total, now);
   }
+  std::size_t incomplete = 0;
+  for (const incomplete_request& request : requests) {
+    incomplete += request.bytes;
+  }
   while (total >= account.budget() && !requests.empty()) {
     // One without a turn, if there is any.
     const auto largest =
@@ -71,6 +75,12 @@
                            return std::pair(!has_turn(left.id), left.bytes) <
                                   std::pair(!has_turn(right.id), right.bytes);
                          });
+    // Links, responses or forwarded requests alone use up the budget: refusing small requests
+    // would free next to nothing.
+    if (!is_large(*largest) && total >= account.budget() + incomplete) {
+      break;
+    }
+    incomplete -= largest->bytes;
     decision.largest.push_back(refuse(requests, largest, total));
   }
   update_order(requests, now);
