Age only estimates that may be wrong

Cause, found in review: any faster sample after a second replaced the callers' estimate of a class, and reported service times aged from the first moment, so deployments with few requests of a class were placed otherwise than before. Change: only the result of a probe replaces the estimate; reported times age after a second without a change, and not before the first report. The model of the store states no era instead of era 0.

--- a/Source/mesh/upstream_pool.cpp
+++ b/Source/mesh/upstream_pool.cpp
@@ -45,6 +45,8 @@
 /// Time between requests of one work class that are sent although its doubtful estimate rules out
 /// every upstream.
 constexpr duration probe_interval = std::chrono::seconds(1);
+/// Without a change for this long, a reported service time may be wrong.
+constexpr duration service_time_validity = std::chrono::seconds(1);
 /// Time in which the slowness of an upstream counts half as much, while the service time that it
 /// reports does not change. An upstream that gets no requests would otherwise stay slow forever.
 constexpr duration slowness_half_life = std::chrono::seconds(3);
@@ -114,7 +116,10 @@
   }
   for (candidate_upstream& candidate : candidates) {
     const duration unchanged = now - candidate.entry->service_time_changed_at;
-    const double half_lives = std::chrono::duration<double>(unchanged) /
+    if (candidate.entry->load.service_time_us == 0 || unchanged <= service_time_validity) {
+      continue;
+    }
+    const double half_lives = std::chrono::duration<double>(unchanged - service_time_validity) /
                               std::chrono::duration<double>(slowness_half_life);
     candidate.expected_ms =
         shortest_ms + (candidate.expected_ms - shortest_ms) * std::exp2(-half_lives);
@@ -310,7 +315,9 @@
 void upstream_pool::service_time_measured(const std::string& work_class, duration time,
                                           time_point now) {
   service_time_estimate& estimate = *history_.estimate_of(work_class);
-  if (estimate.is_old(now) && time < estimate.mean()) {
+  // Other faster samples of a class with few requests are usual and say little about its mean.
+  const bool probed = !estimate.admits_probe(now);
+  if (probed && estimate.is_old(now) && time < estimate.mean()) {
     estimate = {};
   }
   history_.record(estimate, time, now);
--- a/Tests/sidecar/model_store.cpp
+++ b/Tests/sidecar/model_store.cpp
@@ -107,7 +107,7 @@
   bool silent = false;
   bool finished = false;
   int compactions = 0;
-  std::uint64_t era = 0;  ///< Stated by the response.
+  std::optional<std::uint64_t> era;  ///< Stated by the response.
 };
 
 void model_store_client::respond(const configuration_callback& done,
@@ -116,7 +116,8 @@
 }
 
 void model_store_client::deliver(const configuration_callback& done,
-                                 configuration_read_result result, std::uint64_t era) {
+                                 configuration_read_result result,
+                                 std::optional<std::uint64_t> era) {
   const bool responded = result.outcome != store_outcome::unknown;
   if (responded && !response_is_current(era)) {
     result = without_content(store_outcome::unknown);
@@ -137,7 +138,7 @@
   } else {
     // The response contains the state of the store after half of the latency.
     const auto result = std::make_shared<configuration_read_result>();
-    const auto era = std::make_shared<std::uint64_t>(0);
+    const auto era = std::make_shared<std::optional<std::uint64_t>>();
     timers_.clock().post(store_.latency_ / 2, [result, era, &store = store_] {
       *result = store.newest();
       *era = store.stated_era();
--- a/Tests/sidecar/model_store.h
+++ b/Tests/sidecar/model_store.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "process_timers.h"
@@ -56,7 +57,9 @@
   };
 
   [[nodiscard]] configuration_read_result newest() const;
-  [[nodiscard]] std::uint64_t stated_era() const { return era_stated_ ? era_ : 0; }
+  [[nodiscard]] std::optional<std::uint64_t> stated_era() const {
+    return era_stated_ ? std::optional(era_) : std::nullopt;
+  }
 
   virtual_timers& clock_;
   std::vector<written_version> versions_;
@@ -102,7 +105,7 @@
                duration delay);
   /// Calls back with a response of this era.
   void deliver(const configuration_callback& done, configuration_read_result result,
-               std::uint64_t era);
+               std::optional<std::uint64_t> era);
   void start(const watch_pointer& pending);
   void poll(const watch_pointer& pending);
   void finish(const watch_pointer& pending, const configuration_read_result& result);
