--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -85,8 +85,8 @@
   service_name service_;
   std::optional<wire::call_workspace> workspace_;
   wire::call call_;
-  bool holds_token_ = false;                       ///< Of the quota of the workspace.
-  request_identity identity_;                      ///< Of `call_`.
+  bool holds_token_ = false;          ///< Of the quota of the workspace.
+  request_identity identity_;         ///< Of `call_`.
   std::vector<crash_count> crashes_;  ///< Counts of the request before the latest attempt.
   std::vector<attempt> attempts_;
   std::vector<instance_name> tried_;  ///< Upstreams of the attempts, in their order.
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -400,8 +400,9 @@
 
 bool http_server_connection::has_room_for(const http_request& request) const {
   const std::size_t bytes = http_exchange::forwarding_bytes(request);
-  // One request may exceed the budget. Reading stops at three quarters of it, so otherwise no request
-  // of the full size could be forwarded on a machine with little memory while others are unfinished.
+  // One request may exceed the budget. Reading stops at three quarters of it, so otherwise no
+  // request of the full size could be forwarded on a machine with little memory while others are
+  // unfinished.
   return buffers_ == nullptr || bytes <= read_schedule::small_request_bytes ||
          buffers_->account()->has_room_for(1);
 }
