Follow the linter in two files of tests

Cause: the linter had not run on all files that the parts added. Change: a reference in place of a copy; a class with a destructor is not copied. Conclusion: no test checks less or more than before.

--- a/Tests/rollout/fleet_model.cpp
+++ b/Tests/rollout/fleet_model.cpp
@@ -175,7 +175,7 @@
 }
 
 void fleet_model::send_request(daemon& from) {
-  const std::string work_class = classes[random_.index(classes.size())];
+  const std::string& work_class = classes[random_.index(classes.size())];
   const bool counts = stored_.has_value() && now_ - ordered_at_ < stored_->span;
   requests += counts ? 1 : 0;
   version_rule rule = from.table.rule(the_service, work_class, true, now_, random_);
--- a/Tests/sidecar/rollout_test_store.h
+++ b/Tests/sidecar/rollout_test_store.h
@@ -16,6 +16,8 @@
   test_rollout_store(event_loop& loop, store_contents& contents)
       : loop_(loop), contents_(contents) {}
   ~test_rollout_store() override { end_watch(); }
+  test_rollout_store(const test_rollout_store&) = delete;
+  test_rollout_store& operator=(const test_rollout_store&) = delete;
 
   void list_orders(listing_callback done) override;
   void watch_orders(std::uint64_t revision, duration wait, listing_callback done) override;
