Bound the connections of clients by the descriptors of the process

Callers saw: while 700 clients stayed connected to a process that may open 300 descriptors, no ordinary caller got an answer, and the process used a whole core with nothing to do. Cause: nothing bounded the connections of clients. accept failed with EMFILE, the listening socket stayed readable, and the loop turned without a pause. The store, the target and peers got no descriptors either. Change: transport/connection_limit divides the descriptors (limits.descriptors, or the soft limit of the system); a quarter is never for clients. At the limit transport/eviction_order chooses the connection of least use: idle for longest, then the unfinished request with the least progress, never one that was passed on. If all are needed, the new one is refused at once with 503 and Retry-After. Each further server has a limit of its own. A listener that cannot accept pauses. crocusdoord reads limits.caller_connections. Conclusion: a client can no longer keep others out by staying, because what is of least use goes first, and what the process itself needs is set aside.

--- a/Benchmarks/sidecar/sidecar_benchmark.cpp
+++ b/Benchmarks/sidecar/sidecar_benchmark.cpp
@@ -261,7 +261,8 @@
                           counters,
                           start,
                           nullptr,
-                          {instance_name("instance"), 1}};
+                          {instance_name("instance"), 1},
+                          {}};
 };
 
 /// Which requests have crashed targets.
--- a/Source/daemon/daemon_context.h
+++ b/Source/daemon/daemon_context.h
@@ -5,6 +5,7 @@
 #include "daemon/settings.h"
 #include "daemon/trace_recorder.h"
 #include "transport/buffer_manager.h"
+#include "transport/connection_limit.h"
 #include "transport/event_loop.h"
 
 namespace crocusdoor {
@@ -21,6 +22,7 @@
   /// Wall time of this process's start in milliseconds; distinguishes it from earlier processes of
   /// the instance.
   std::uint64_t incarnation;
+  server_connection_limits connections;
 };
 
 }  // namespace crocusdoor
--- a/Source/daemon/default_settings.cpp
+++ b/Source/daemon/default_settings.cpp
@@ -65,6 +65,7 @@
     "body_bytes": 1000000,         // largest request or response body
     "link_output_bytes": 4000000,  // unsent output of one link between daemons
     "subset_size": 20,             // upstreams of a service that this daemon calls
+    "descriptors": 0,              // open files and sockets; 0: the limit of the system
     "memory_mb": 0,                // memory of the machine, bounds the buffers; 0: not known
     "retry_percent": 10,           // retries as a share of calls
     "hedge_percent": 5             // hedges as a share of calls
--- a/Source/daemon/intent_api.cpp
+++ b/Source/daemon/intent_api.cpp
@@ -29,7 +29,7 @@
       server_(
           shared_.loop, {shared_.options.listen.address, shared_.options.listen.api_port},
           [this](const exchange_pointer& exchange) { router_.dispatch(exchange); },
-          http_server_limits{}, shared_.buffers) {
+          http_server_limits{.connections = shared_.connections.others}, shared_.buffers) {
   add_configuration_routes();
   add_instance_routes();
   add_operation_routes();
--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -35,6 +35,13 @@
   return policy;
 }
 
+server_connection_limits make_connection_limits(const limit_settings& limits) {
+  server_connection_limits result =
+      divide_descriptors(descriptor_limit(static_cast<std::size_t>(limits.descriptors)));
+  result.callers = std::min(result.callers, static_cast<std::size_t>(limits.caller_connections));
+  return result;
+}
+
 /// Refuses a request that arrives after the drain has finished.
 void respond_stopping(http_exchange& exchange) {
   exchange.respond({503,
@@ -52,7 +59,14 @@
       buffers_(std::make_shared<buffer_manager>(
           loop_, buffer_budget_bytes(options_.limits.memory_mb),
           [this](const buffer_manager::refusal_counts& refusals) { log_memory(refusals); })),
-      shared_{loop_, random_, options_, counters_, traces_, buffers_, start_incarnation()},
+      shared_{loop_,
+              random_,
+              options_,
+              counters_,
+              traces_,
+              buffers_,
+              start_incarnation(),
+              make_connection_limits(options_.limits)},
       platform_(loop_, {options_.platform.address, options_.platform.port},
                 options_.platform.timeout_ms, options_.platform.connections),
       selector_({options_.instance.name, options_.instance.domain, options_.instance.region},
@@ -112,7 +126,7 @@
           std::make_shared<caller_request>(*caller_services_, exchange)->start();
         }
       },
-      http_server_limits{}, buffers_);
+      http_server_limits{.connections = shared_.connections.callers}, buffers_);
   buffers_->set_link_output([this] { return mesh_->unsent_output(); });
   api_ = std::make_unique<intent_api>(*this);
 }
@@ -356,6 +370,7 @@
       .Set(static_cast<double>(mesh_->bytes_received()));
   counters_.set_link_traffic(mesh_->traffic());
   counters_.set_buffers(*buffers_);
+  counters_.set_connections(caller_server_->connections(), shared_.connections.callers);
   counters_.total("crocusdoor_refused_messages_total", "Messages that were not valid")
       .Set(static_cast<double>(mesh_->refused_messages()));
   counters_.total("crocusdoor_platform_reads_total", "Read calls of the platform")
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -198,6 +198,18 @@
   }
 }
 
+void metrics::set_connections(const connection_counts& counts, std::size_t limit) {
+  total("crocusdoor_caller_connections", "Open connections of callers")
+      .Set(static_cast<double>(counts.open));
+  total("crocusdoor_caller_connection_limit", "Connections of callers that are kept open")
+      .Set(static_cast<double>(limit));
+  total("crocusdoor_connections_evicted_total", "Connections of callers closed for new ones")
+      .Set(static_cast<double>(counts.evicted));
+  total("crocusdoor_connections_refused_total",
+        "New connections of callers refused because all others were needed")
+      .Set(static_cast<double>(counts.refused));
+}
+
 void metrics::set_link_traffic(const link_traffic& traffic) {
   for (const auto& [scope, amounts] : traffic.totals()) {
     for (const auto& [kind, sent] : amounts) {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -11,6 +11,7 @@
 #include "core/verdict.h"
 #include "link/link_traffic.h"
 #include "transport/buffer_manager.h"
+#include "transport/connection_limit.h"
 
 namespace crocusdoor {
 
@@ -68,6 +69,8 @@
                            const prometheus::Labels& labels = {});
   /// Sets the buffered bytes and the refusals for lack of memory.
   void set_buffers(buffer_manager& buffers);
+  /// Sets the connections of callers.
+  void set_connections(const connection_counts& counts, std::size_t limit);
   /// Sets the totals of the messages and bytes sent to other daemons.
   void set_link_traffic(const link_traffic& traffic);
 
--- a/Source/daemon/settings.h
+++ b/Source/daemon/settings.h
@@ -85,7 +85,8 @@
   std::int32_t subset_size = 20;               ///< Upstreams that a daemon uses for a service.
   std::int32_t retry_percent = 10;             ///< Maximum retries as a share of calls.
   std::int32_t memory_mb = 0;                  ///< Memory of the machine; 0 if not known.
-  std::int32_t hedge_percent = 5;              ///< Maximum hedges as a share of calls.
+  std::int32_t descriptors = 0;    ///< Open files and sockets; 0 for the system's limit.
+  std::int32_t hedge_percent = 5;  ///< Maximum hedges as a share of calls.
   friend bool operator==(const limit_settings&, const limit_settings&) = default;
 };
 
@@ -216,6 +217,7 @@
       optional_field("subset_size", &record::subset_size, {1, 1'000}),
       optional_field("retry_percent", &record::retry_percent, {0, 100}),
       optional_field("memory_mb", &record::memory_mb, {0, 1'000'000}),
+      optional_field("descriptors", &record::descriptors, {0, 1'000'000}),
       optional_field("hedge_percent", &record::hedge_percent, {0, 100}));
 };
 
--- a/Source/sidecar/registration_server.cpp
+++ b/Source/sidecar/registration_server.cpp
@@ -25,7 +25,7 @@
       server_(
           shared.loop, shared.options.listen.registration,
           [this](const std::shared_ptr<http_exchange>& exchange) { receive(exchange); },
-          http_server_limits{}, shared.buffers) {}
+          http_server_limits{.connections = shared.connections.others}, shared.buffers) {}
 
 void registration_server::receive(const std::shared_ptr<http_exchange>& exchange) {
   handle_failure(
--- a/Source/sidecar/sidecar_context.h
+++ b/Source/sidecar/sidecar_context.h
@@ -11,6 +11,7 @@
 #include "sidecar/start_timeline.h"
 #include "suspicion/crash_counts.h"
 #include "transport/buffer_manager.h"
+#include "transport/connection_limit.h"
 #include "transport/event_loop.h"
 
 namespace crocusdoor {
@@ -31,6 +32,7 @@
   std::shared_ptr<buffer_manager> buffers;
   /// Name and incarnation of this process.
   peer_process self;
+  server_connection_limits connections;
 };
 
 /// A request with the features by which its caller is told from others, if it is suspected.
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -49,6 +49,7 @@
 
 /// Interval of the log lines about the traffic to other daemons.
 constexpr duration traffic_log_interval = std::chrono::seconds(10);
+constexpr duration connection_log_interval = std::chrono::seconds(1);
 
 std::uint64_t start_incarnation() {
   return static_cast<std::uint64_t>(event_loop::wall_now().time_since_epoch().count());
@@ -96,7 +97,9 @@
               counters_,
               start_,
               buffers_,
-              {options_.instance.name, start_incarnation()}},
+              {options_.instance.name, start_incarnation()},
+              divide_descriptors(
+                  descriptor_limit(static_cast<std::size_t>(options_.limits.descriptors)))},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   buffers_->set_link_output([this] { return mesh_->unsent_output(); });
@@ -192,11 +195,11 @@
       [this](const std::shared_ptr<http_exchange>& exchange) {
         std::make_shared<outbound_request>(*services_, exchange)->start();
       },
-      http_server_limits{}, buffers_);
+      http_server_limits{.connections = shared_.connections.callers}, buffers_);
   readiness_ = std::make_unique<http_server>(
       loop_, options_.listen.readiness,
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_readiness(*exchange); },
-      http_server_limits{}, buffers_);
+      http_server_limits{.connections = shared_.connections.others}, buffers_);
   suspicion_api_ = std::make_unique<suspicion_api>(
       shared_,
       [this](const std::vector<crash_count>& counts) { crash_exchange_->changed(counts); });
@@ -209,7 +212,7 @@
           answer_metrics(*exchange);
         }
       },
-      http_server_limits{}, buffers_);
+      http_server_limits{.connections = shared_.connections.others}, buffers_);
   registration_ = std::make_unique<registration_server>(shared_, *gateway_, *entry_);
   stop_ = std::make_unique<planned_stop>(
       planned_stop::context{loop_, log_, *callers_, registration_->server(), gateway_->work(),
@@ -358,6 +361,7 @@
   crash_exchange_->start();
   rollouts_->start();
   traffic_log_timer_ = loop_.every(traffic_log_interval, [this] { log_traffic(); });
+  connection_log_timer_ = loop_.every(connection_log_interval, [this] { log_connections(); });
   measure_loop_delay();
 }
 
@@ -374,6 +378,20 @@
                {{"refused", refused}, {"bytes", bytes}, {"budget", buffers_->account()->budget()}});
 }
 
+/// Logs that connections were closed or refused for lack of places since the last call.
+void sidecar_daemon::log_connections() {
+  const connection_counts& counts = callers_->connections();
+  const std::uint64_t evicted = counts.evicted - logged_connections_.evicted;
+  const std::uint64_t refused = counts.refused - logged_connections_.refused;
+  if (evicted + refused > 0) {
+    log_.warning("connections_limited", {{"open", counts.open},
+                                         {"limit", shared_.connections.callers},
+                                         {"evicted", evicted},
+                                         {"refused", refused}});
+  }
+  logged_connections_ = counts;
+}
+
 void sidecar_daemon::log_traffic() {
   for (const auto& [scope, amounts] : mesh_->traffic().totals()) {
     nlohmann::json kinds = nlohmann::json::object();
@@ -548,6 +566,7 @@
   server_limits.size.body_bytes = std::min(limits.body_bytes, http_body_limit_bytes);
   server_limits.header_timeout = limits.header_timeout_ms;
   server_limits.idle_timeout = limits.idle_timeout_ms;
+  server_limits.connections = shared_.connections.callers;
   callers_->set_limits(server_limits);
   quotas_->configure(table->content());
   gateway_->probe_target();
@@ -594,6 +613,7 @@
   }
   counters_.set_link_traffic(mesh_->traffic());
   counters_.set_buffers(*buffers_);
+  counters_.set_connections(callers_->connections(), shared_.connections.callers);
   counters_
       .total("crocusdoor_unsent_response_bytes", "Bytes of responses not acknowledged by callers")
       .Set(static_cast<double>(callers_->unsent().bytes));
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -82,6 +82,7 @@
   void answer_readiness(http_exchange& exchange);
   void answer_metrics(http_exchange& exchange);
   void log_memory(const buffer_manager::refusal_counts& refusals);
+  void log_connections();
   void log_traffic();
   void measure_loop_delay();
 
@@ -125,6 +126,8 @@
   std::uint64_t record_sequence_ = 1;
   time_point era_reported_until_{};  ///< Heartbeats state the era of the store until then.
   timer_handle traffic_log_timer_;
+  timer_handle connection_log_timer_;
+  connection_counts logged_connections_;
   timer_handle loop_delay_timer_;
   time_point loop_delay_due_{};
 };
--- a/Source/sidecar/sidecar_settings.h
+++ b/Source/sidecar/sidecar_settings.h
@@ -58,7 +58,8 @@
 
 /// What this process may use of the machine.
 struct sidecar_limits {
-  std::int32_t memory_mb = 0;  ///< 0 if it is not known.
+  std::int32_t memory_mb = 0;    ///< 0 if it is not known.
+  std::int32_t descriptors = 0;  ///< Open files and sockets; 0 for the limit of the system.
   friend bool operator==(const sidecar_limits&, const sidecar_limits&) = default;
 };
 
@@ -132,7 +133,8 @@
 template <>
 struct record_fields<sidecar_limits> {
   static constexpr auto table =
-      std::make_tuple(optional_field("memory_mb", &sidecar_limits::memory_mb, {0, 1'000'000}));
+      std::make_tuple(optional_field("memory_mb", &sidecar_limits::memory_mb, {0, 1'000'000}),
+                      optional_field("descriptors", &sidecar_limits::descriptors, {0, 1'000'000}));
 };
 
 template <>
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/connection_limit.h"
 #include "transport/socket_options.h"
 #include "transport/socket_state.h"
 #include "transport/stream_input.h"
@@ -35,6 +36,8 @@
 constexpr std::size_t kept_input_bytes = 4'096;
 /// Sent with a refusal for lack of memory. Others need about this long to finish or to be refused.
 constexpr const char* memory_retry_after = "2";
+/// Sent with a refusal for lack of connections. Unfinished requests may be refused after this time.
+constexpr const char* connections_retry_after = "1";
 constexpr int status_request_timeout = 408;
 constexpr int status_unavailable = 503;
 
@@ -53,6 +56,7 @@
       reader_(server->limits.size),
       last_active_at_(server->loop.now()),
       stream_(bufferevent_socket_new(server->loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE)) {
+  ++server->counts.open;
   set_connection_options(descriptor);
   bufferevent_setcb(stream_, &http_server_connection::on_read, &http_server_connection::on_write,
                     &http_server_connection::on_event, this);
@@ -98,11 +102,14 @@
     return;
   }
   report_undelivered(cause);
+  const bool was_ending = phase_ == phase::lingering;
   phase_ = phase::closed;
   bufferevent_free(stream_);
   stream_ = nullptr;
   update_charges();
   if (const auto server = server_.lock()) {
+    --server->counts.open;
+    server->ending_count -= was_ending ? 1 : 0;
     // Erased in a later iteration of the loop: the set may hold the last reference, and a member
     // function of this object is running.
     server->loop.post([self = shared_from_this(), server] { server->connections.erase(self); });
@@ -145,6 +152,41 @@
   return unused && !is_delivered() && now - last_active_at_ >= stalled_time;
 }
 
+connection_standing http_server_connection::standing(time_point now) const {
+  if (phase_ == phase::idle && !is_new()) {
+    return {connection_use::idle, now - last_active_at_, 0};
+  }
+  const duration age = now - request_started_at_;
+  if (phase_ != phase::reading || age < unfinished_grace_time) {
+    return {};
+  }
+  const double seconds = std::chrono::duration<double>(age).count();
+  return {connection_use::unfinished, duration::zero(),
+          static_cast<double>(request_bytes_) / seconds};
+}
+
+bool http_server_connection::evict(time_point now) {
+  const connection_use use = standing(now).use;
+  if (use == connection_use::unfinished) {
+    refuse(status_request_timeout, {{"Retry-After", connections_retry_after}});
+    return true;
+  }
+  const bool unread = use == connection_use::idle && is_stalled(now);
+  if (unread || (use == connection_use::idle && is_idle())) {
+    close(unread ? delivery_failure::output_limit : delivery_failure::closed_by_server);
+    return true;
+  }
+  return false;
+}
+
+void http_server_connection::refuse_for_lack_of_connections() {
+  refuse(status_unavailable, {{"Retry-After", connections_retry_after}});
+}
+
+bool http_server_connection::is_dispensable() {
+  return phase_ == phase::lingering && (refused_ || is_delivered());
+}
+
 std::size_t http_server_connection::unsent_output() const {
   return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
 }
@@ -241,6 +283,10 @@
 
 void http_server_connection::finish_writing() {
   phase_ = phase::lingering;
+  if (const auto server = server_.lock()) {
+    server->ending.push_back(weak_from_this());
+    ++server->ending_count;
+  }
   last_active_at_ = now();
   input_ = std::string();
   reader_ = http_request_reader(http_size_limits{});
@@ -256,6 +302,7 @@
 }
 
 void http_server_connection::refuse(int status, const http_headers& headers) {
+  refused_ = true;
   write(write_response({status, headers, ""}, "GET", false));
   finish_writing();
 }
@@ -351,6 +398,7 @@
     read_request();
   }
   if (phase_ == phase::reading || (phase_ == phase::idle && input_.empty())) {
+    request_bytes_ += pending_input();
     append_input(stream_, input_);
     read_request();
   }
@@ -365,6 +413,7 @@
   if (phase_ == phase::idle) {
     phase_ = phase::reading;
     request_started_at_ = last_active_at_;
+    request_bytes_ = input_.size();
   }
   const read_progress progress = reader_.read(input_);
   if (progress == read_progress::refused) {
--- a/Source/transport/http_connection.h
+++ b/Source/transport/http_connection.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "transport/acknowledgement_watch.h"
+#include "transport/eviction_order.h"
 #include "transport/http_server.h"
 #include "transport/tcp_listener.h"
 
@@ -23,6 +25,13 @@
   std::shared_ptr<buffer_manager> buffers;
   bool closing = false;
   std::set<connection_pointer> connections;
+  /// Connections that have sent their last response, in the order in which they did.
+  std::deque<std::weak_ptr<http_server_connection>> ending;
+  std::size_t ending_count = 0;  ///< Those of them that are open.
+  connection_counts counts;
+  /// Connections that may be closed for new ones, the one of least use first.
+  std::deque<std::weak_ptr<http_server_connection>> eviction_order;
+  time_point next_eviction_order{};
   std::unique_ptr<tcp_listener> listener;
   timer_handle timeout_check_timer;
 
@@ -34,7 +43,10 @@
         buffers(std::move(manager)) {}
 
   void check_connections();
-  void close_excess_connections(time_point now);
+  void accept(int descriptor);
+  bool evict();
+  void order_evictions(time_point now);
+  bool close_ending();
   void limit_unsent_output();
 };
 
@@ -62,6 +74,16 @@
   /// Closes or refuses the connection if a timeout has passed.
   void check_timeouts(const http_server_limits& limits, time_point now);
 
+  /// Of what use the connection is, from what has been read and written. `evict` checks the socket.
+  [[nodiscard]] connection_standing standing(time_point now) const;
+  /// Closes the connection, or refuses its request, if nothing was passed on and nothing is owed to
+  /// the client. Returns whether it did.
+  bool evict(time_point now);
+  /// Refuses a connection whose request was not read.
+  void refuse_for_lack_of_connections();
+  /// Whether the last response was refused here or delivered, so that the connection may be closed.
+  [[nodiscard]] bool is_dispensable();
+
   [[nodiscard]] bool is_idle() {
     return phase_ == phase::idle && !is_new() && !has_unread_bytes() && is_delivered();
   }
@@ -161,7 +183,9 @@
   phase phase_ = phase::idle;
   bool keep_alive_ = true;
   bool continue_sent_ = false;
-  bool served_ = false;  ///< Whether a request of this connection has been answered.
+  bool refused_ = false;           ///< Whether the last response is a refusal of this server.
+  std::size_t request_bytes_ = 0;  ///< Received of the current request.
+  bool served_ = false;            ///< Whether a request of this connection has been answered.
   bool sending_ended_ = false;
   bool client_ended_ = false;        ///< Whether the client has ended its sending side.
   bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "transport/connection_limit.h"
 #include "transport/http_connection.h"
 
 namespace crocusdoor {
@@ -15,9 +16,8 @@
 /// Above this many unsent bytes of all connections, those whose clients have read nothing for
 /// longest are closed, so that the memory of the process is bounded.
 constexpr std::size_t total_unsent_limit_bytes = 16'000'000;
-/// Above this number of connections idle ones, and those whose clients do not read, are closed, so
-/// that file descriptors do not run out.
-constexpr std::size_t connection_limit = 2'000;
+/// Time between two looks at all connections for those that are of least use.
+constexpr duration eviction_interval = std::chrono::milliseconds(100);
 /// A request that is forwarded exists in the exchange, in the call, in the message to a peer or the
 /// work of this process, and in the output to the target.
 constexpr std::size_t forwarding_copies = 4;
@@ -35,9 +35,7 @@
   for (const auto& connection : connections) {
     connection->check_timeouts(limits, now);
   }
-  if (connections.size() > connection_limit) {
-    close_excess_connections(now);
-  }
+  std::erase_if(ending, [](const auto& connection) { return connection.expired(); });
 }
 
 namespace {
@@ -50,23 +48,68 @@
 
 }  // namespace
 
-/// Closes connections above the limit: idle ones, then those whose clients do not read.
-void http_server_state::close_excess_connections(time_point now) {
-  std::size_t excess = connections.size() - connection_limit;
-  std::vector<connection_pointer> stalled;
+void http_server_state::accept(int descriptor) {
+  const auto connection = std::make_shared<http_server_connection>(shared_from_this(), descriptor);
+  connections.insert(connection);
+  if (counts.open - ending_count > limits.connections && !evict()) {
+    ++counts.refused;
+    connection->refuse_for_lack_of_connections();
+  }
+  const std::size_t most_open = limits.connections + refused_connection_limit(limits.connections);
+  while (counts.open > most_open && close_ending()) {
+  }
+  if (counts.open > most_open) {
+    connection->close();
+  }
+}
+
+/// Closes the connection that is of least use, or refuses its request. Returns false if all are
+/// needed.
+bool http_server_state::evict() {
+  const time_point now = loop.now();
+  if (eviction_order.empty() && now >= next_eviction_order) {
+    order_evictions(now);
+    next_eviction_order = now + eviction_interval;
+  }
+  while (!eviction_order.empty()) {
+    const connection_pointer connection = eviction_order.front().lock();
+    eviction_order.pop_front();
+    if (connection != nullptr && connection->evict(now)) {
+      ++counts.evicted;
+      return true;
+    }
+  }
+  return false;
+}
+
+void http_server_state::order_evictions(time_point now) {
+  using standing_of = std::pair<connection_standing, connection_pointer>;
+  std::vector<standing_of> order;
   for (const connection_pointer& connection : connections) {
-    if (excess > 0 && connection->is_idle()) {
-      connection->close();
-      --excess;
-    } else if (connection->is_stalled(now)) {
-      stalled.push_back(connection);
+    const connection_standing standing = connection->standing(now);
+    if (standing.use != connection_use::needed) {
+      order.emplace_back(standing, connection);
     }
   }
-  std::sort(stalled.begin(), stalled.end(), longer_inactive);
-  stalled.resize(std::min(excess, stalled.size()));
-  for (const connection_pointer& connection : stalled) {
-    connection->close(delivery_failure::output_limit);
+  std::sort(order.begin(), order.end(), [](const standing_of& left, const standing_of& right) {
+    return is_evicted_before(left.first, right.first);
+  });
+  for (const auto& [standing, connection] : order) {
+    eviction_order.push_back(connection);
+  }
+}
+
+/// Closes the connection that has been ending for longest and of which nothing is owed to its
+/// client. Returns false if there is none.
+bool http_server_state::close_ending() {
+  for (const std::weak_ptr<http_server_connection>& weak : ending) {
+    const connection_pointer connection = weak.lock();
+    if (connection != nullptr && connection->is_dispensable()) {
+      connection->close();
+      return true;
+    }
   }
+  return false;
 }
 
 void http_server_state::limit_unsent_output() {
@@ -158,8 +201,7 @@
                                                          std::move(buffers))) {
   state_->listener =
       std::make_unique<tcp_listener>(loop, local, [state = state_.get()](std::intptr_t accepted) {
-        state->connections.insert(std::make_shared<detail::http_server_connection>(
-            state->weak_from_this().lock(), static_cast<int>(accepted)));
+        state->accept(static_cast<int>(accepted));
       });
   state_->timeout_check_timer =
       loop.every(timeout_check_interval, [state = state_.get()] { state->check_connections(); });
@@ -217,6 +259,10 @@
   return result;
 }
 
+const connection_counts& http_server::connections() const noexcept {
+  return state_->counts;
+}
+
 std::uint16_t http_server::port() const noexcept {
   return state_->listener->port();
 }
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -5,6 +5,7 @@
 
 #include "core/enum_names.h"
 #include "transport/buffer_manager.h"
+#include "transport/connection_limit.h"
 #include "transport/event_loop.h"
 #include "transport/http_framing.h"
 #include "transport/http_types.h"
@@ -107,6 +108,9 @@
   /// Between requests, within a body, and while the client reads nothing of a response. The time
   /// between requests counts from the client's acknowledgement of the last response.
   duration idle_timeout = std::chrono::seconds(120);
+  /// Connections that are kept open. For a further one the connection of least use is closed; if
+  /// all are needed, the further one is refused with 503.
+  std::size_t connections = 2'000;
   friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
 
@@ -140,6 +144,7 @@
   [[nodiscard]] std::size_t active() const;
   /// Responses that are not wholly acknowledged by their clients.
   [[nodiscard]] unsent_responses unsent() const;
+  [[nodiscard]] const connection_counts& connections() const noexcept;
   [[nodiscard]] std::uint16_t port() const noexcept;
 
  private:
--- a/Source/transport/tcp_listener.cpp
+++ b/Source/transport/tcp_listener.cpp
@@ -10,21 +10,36 @@
 
 namespace crocusdoor {
 
+namespace {
+
+/// Pause after a connection could not be accepted.
+constexpr duration accept_pause = std::chrono::milliseconds(100);
+
+}  // namespace
+
 struct tcp_listener::state {
+  event_loop& loop;
   std::function<void(std::intptr_t)> accepted;
   evconnlistener* listener = nullptr;
+  timer_handle resume_timer;
   std::uint16_t port = 0;
 
+  void pause() {
+    evconnlistener_disable(listener);
+    resume_timer = loop.after(accept_pause, [this] { evconnlistener_enable(listener); });
+  }
+
   static void on_accept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int,
                         void* context) {
     static_cast<state*>(context)->accepted(descriptor);
   }
+
+  static void on_error(evconnlistener*, void* context) { static_cast<state*>(context)->pause(); }
 };
 
 tcp_listener::tcp_listener(event_loop& loop, const ip_endpoint& local,
                            std::function<void(std::intptr_t)> accepted)
-    : state_(std::make_unique<state>()) {
-  state_->accepted = std::move(accepted);
+    : state_(std::make_unique<state>(state{loop, std::move(accepted)})) {
   const auto address = detail::to_socket_address(local);
   if (!address.has_value()) {
     throw std::runtime_error("listen address is not a numeric IPv4 address: " + to_string(local));
@@ -36,6 +51,7 @@
   if (state_->listener == nullptr) {
     throw std::runtime_error("cannot listen on " + to_string(local));
   }
+  evconnlistener_set_error_cb(state_->listener, &state::on_error);
   sockaddr_in bound{};
   socklen_t bound_length = sizeof(bound);
   getsockname(evconnlistener_get_fd(state_->listener), reinterpret_cast<sockaddr*>(&bound),
--- a/Source/transport/tcp_listener.h
+++ b/Source/transport/tcp_listener.h
@@ -8,7 +8,8 @@
 
 namespace crocusdoor {
 
-/// Accepts TCP connections.
+/// Accepts TCP connections. If the process has no descriptor left, it pauses for a moment, because
+/// the socket stays readable until the connection is accepted.
 class tcp_listener {
  public:
   /// Throws std::runtime_error if the endpoint cannot be bound.
--- a/Tests/memory/client_crowd.cpp
+++ b/Tests/memory/client_crowd.cpp
@@ -75,6 +75,14 @@
   }
 }
 
+void client_crowd::send_for(crowd_pace pace, std::chrono::milliseconds span) {
+  const auto end = steady::now() + span;
+  while (steady::now() < end) {
+    take_turns(pace.piece_bytes, true);
+    std::this_thread::sleep_for(pace.pause);
+  }
+}
+
 void client_crowd::stay_connected(std::chrono::milliseconds span) {
   const auto end = steady::now() + span;
   while (steady::now() < end) {
--- a/Tests/memory/client_crowd.h
+++ b/Tests/memory/client_crowd.h
@@ -38,6 +38,8 @@
   /// Sends until all clients have sent their scripts or have been disconnected, or until the
   /// process has taken nothing for `quiet_time`. Discards what the process sends.
   void send_all(crowd_pace pace);
+  /// Sends for this long and reads what the process sends.
+  void send_for(crowd_pace pace, std::chrono::milliseconds span);
   /// Reads what the process sends for this long, without sending.
   void stay_connected(std::chrono::milliseconds span);
 
--- a/Tests/memory/loaded_process.cpp
+++ b/Tests/memory/loaded_process.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -10,6 +11,8 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <limits>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -53,6 +56,21 @@
   return next++;
 }
 
+/// Starts a process with a soft limit on descriptors; 0 keeps that of the test.
+std::unique_ptr<child_process> start_process(const std::vector<std::string>& command,
+                                             const std::string& log_file, std::size_t descriptors) {
+  rlimit before{};
+  ::getrlimit(RLIMIT_NOFILE, &before);
+  rlimit lowered = before;
+  if (descriptors > 0) {
+    lowered.rlim_cur = descriptors;
+  }
+  ::setrlimit(RLIMIT_NOFILE, &lowered);
+  auto process = std::make_unique<child_process>(command, log_file);
+  ::setrlimit(RLIMIT_NOFILE, &before);
+  return process;
+}
+
 std::string make_temporary_directory() {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "crocusdoor-memory-XXXXXX").string();
@@ -65,20 +83,22 @@
 }  // namespace
 
 loaded_process::loaded_process(int memory_mb, target_pattern pattern)
+    : loaded_process(process_limits{memory_mb}, pattern) {}
+
+loaded_process::loaded_process(process_limits limits, target_pattern pattern)
     : ports_{take_port(), take_port(), take_port(), take_port(),
              take_port(), take_port(), take_port()},
       directory_(make_temporary_directory()),
       log_file_(directory_ + "/sidecar.log"),
-      surroundings_(std::make_unique<surroundings>(ports_, pattern, http_body_limit_bytes)),
-      process_(std::make_unique<child_process>(
-          std::vector<std::string>{SIDECAR_PROGRAM, "--settings", write_settings(memory_mb)},
-          log_file_)) {
+      surroundings_(std::make_unique<surroundings>(ports_, pattern, limits.body_bytes)),
+      process_(start_process({SIDECAR_PROGRAM, "--settings", write_settings(limits)}, log_file_,
+                             limits.descriptors)) {
   if (!serves()) {
     throw std::runtime_error("the sidecar does not serve; see " + log_file_);
   }
 }
 
-std::string loaded_process::write_settings(int memory_mb) const {
+std::string loaded_process::write_settings(const process_limits& limits) const {
   const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
   const json document = {
       {"instance", {{"name", "sidecar-1"}, {"domain", "zone-1"}, {"region", "region-1"}}},
@@ -90,7 +110,7 @@
         {"metrics", address(ports_.metrics)}}},
       {"target", {{"endpoint", address(ports_.target)}, {"service", "uploads"}}},
       {"store", address(ports_.store)},
-      {"limits", {{"memory_mb", memory_mb}}}};
+      {"limits", {{"memory_mb", limits.memory_mb}}}};
   std::string path = directory_ + "/settings.json";
   std::ofstream(path) << document.dump(2);
   return path;
@@ -115,6 +135,37 @@
   return result;
 }
 
+std::size_t loaded_process::unread_bytes() const {
+  // Columns: number, local address, remote address, state, send queue and receive queue.
+  constexpr int hexadecimal = 16;
+  constexpr const char* listening = "0A";
+  std::ifstream table("/proc/net/tcp");
+  table.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+  std::size_t sum = 0;
+  for (std::string line; std::getline(table, line);) {
+    std::istringstream columns(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    columns >> number >> local >> remote >> state >> queues;
+    const auto port = std::stoul(local.substr(local.find(':') + 1), nullptr, hexadecimal);
+    if (port == ports_.callers && state != listening) {
+      sum += std::stoul(queues.substr(queues.find(':') + 1), nullptr, hexadecimal);
+    }
+  }
+  return sum;
+}
+
+bool loaded_process::asleep() const {
+  std::ifstream stat("/proc/" + std::to_string(process_->id()) + "/stat");
+  std::string content;
+  std::getline(stat, content);
+  const std::size_t name_end = content.rfind(") ");
+  return name_end != std::string::npos && content[name_end + 2] == 'S';
+}
+
 bool loaded_process::serves() {
   const auto end = steady::now() + wait_limit;
   while (steady::now() < end && alive()) {
@@ -127,10 +178,14 @@
 }
 
 std::string loaded_process::exchange(const std::string& request) const {
+  return exchange(ports_.callers, request);
+}
+
+std::string loaded_process::exchange(std::uint16_t port, const std::string& request) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   ::setsockopt(descriptor, SOL_SOCKET, SO_RCVTIMEO, &response_timeout, sizeof(timeval));
   ::setsockopt(descriptor, SOL_SOCKET, SO_SNDTIMEO, &response_timeout, sizeof(timeval));
-  const sockaddr_in address = loopback_address(ports_.callers);
+  const sockaddr_in address = loopback_address(port);
   std::string received;
   if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
     std::size_t sent = 0;
--- a/Tests/memory/surroundings.cpp
+++ b/Tests/memory/surroundings.cpp
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "core/digest.h"
+
 namespace crocusdoor::test {
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr std::chrono::milliseconds stop_check_interval{20};
 constexpr std::chrono::seconds heartbeat_timeout{5};
 constexpr std::chrono::milliseconds longest_watch{500};
+constexpr std::size_t largest_body_bytes = 100'000'000;
 
 std::string to_text(std::uint16_t port) {
   return std::string(loopback) + ":" + std::to_string(port);
@@ -62,7 +65,7 @@
 void surroundings::run() {
   // Larger than any request of the tests, so that only the sidecar limits them.
   http_server_limits limits;
-  limits.size.body_bytes = 4 * http_body_limit_bytes;
+  limits.size.body_bytes = largest_body_bytes;
   const http_server store(
       loop_, {loopback, ports_.store},
       [this](const std::shared_ptr<http_exchange>& exchange) { answer_store(exchange); }, limits);
@@ -105,12 +108,16 @@
 void surroundings::answer_target(const std::shared_ptr<http_exchange>& exchange) {
   const http_request& request = exchange->request();
   const std::string id = header_value(request.headers, "X-Attempt-Id");
-  const http_response response{200,
-                               {{"X-Attempt-Id", id},
-                                {"X-Response-Seal", "seal-" + id},
-                                {"X-Instance-Id", "target-1"},
-                                {"X-Body-Bytes", std::to_string(request.body.size())}},
-                               "done"};
+  http_response response{200,
+                         {{"X-Attempt-Id", id},
+                          {"X-Response-Seal", "seal-" + id},
+                          {"X-Instance-Id", "target-1"},
+                          {"X-Body-Bytes", std::to_string(request.body.size())},
+                          {"X-Body-Hash", std::to_string(stable_hash(request.body))}},
+                         "done"};
+  if (pattern_.closes_connections) {
+    response.headers["Connection"] = "close";
+  }
   if (request.target == "/healthz" || pattern_.work.count() == 0) {
     exchange->respond(response);
     return;
--- a/Tests/memory/surroundings.h
+++ b/Tests/memory/surroundings.h
@@ -27,6 +27,7 @@
 struct target_pattern {
   int slots = 1'000;
   std::chrono::milliseconds work{0};
+  bool closes_connections = false;  ///< Whether each response ends its connection.
 };
 
 /// The store and the target of one sidecar, on a thread of their own. The store holds one
