Bound the bytes that the kernel holds unread

Callers saw: a process was ended by the platform, which counts received and unread bytes as its memory. 600 clients that send 900 kB each to a process with 64 MB left 61.9 MB unread, 91.7 MB with the resident memory. Cause: a connection that is not read keeps its bytes in the socket's receive buffer, which the system lets grow; the sum grows with the number of connections, so the budget inside the process does not bound it. Change: accepted connections have a receive buffer of 6 kB from the handshake on (9 kB unread at most, measured on Linux 6.18). The number of connections is bounded so that all of them hold at most a quarter of the memory. A request of which 4 kB have arrived gets a buffer of 64 kB; as many of these are given as fit into an eighth of the budget. Links between daemons keep the buffers of the system. Conclusion: connections times buffer is bounded by the settings, and ordinary requests are below the buffer.

--- a/Source/daemon/mesh_daemon.cpp
+++ b/Source/daemon/mesh_daemon.cpp
@@ -37,7 +37,8 @@
 
 server_connection_limits make_connection_limits(const limit_settings& limits) {
   server_connection_limits result =
-      divide_descriptors(descriptor_limit(static_cast<std::size_t>(limits.descriptors)));
+      divide_descriptors(descriptor_limit(static_cast<std::size_t>(limits.descriptors)),
+                         buffer_budget_bytes(limits.memory_mb));
   result.callers = std::min(result.callers, static_cast<std::size_t>(limits.caller_connections));
   return result;
 }
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -99,7 +99,8 @@
               buffers_,
               {options_.instance.name, start_incarnation()},
               divide_descriptors(
-                  descriptor_limit(static_cast<std::size_t>(options_.limits.descriptors)))},
+                  descriptor_limit(static_cast<std::size_t>(options_.limits.descriptors)),
+                  buffer_budget_bytes(options_.limits.memory_mb))},
       upstreams_(options_.instance.domain) {
   mesh_ = std::make_unique<peer_mesh>(loop_, random_, mesh_settings(), mesh_handlers());
   buffers_->set_link_output([this] { return mesh_->unsent_output(); });
--- a/Source/transport/buffer_manager.cpp
+++ b/Source/transport/buffer_manager.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "transport/connection_limit.h"
+
 namespace crocusdoor {
 
 namespace {
@@ -10,6 +12,8 @@
 /// Time between two decisions while the budget is nearly used.
 constexpr duration review_interval = std::chrono::milliseconds(50);
 constexpr duration report_interval = std::chrono::seconds(1);
+/// The large receive buffers together may hold this fraction of the budget unread.
+constexpr std::size_t large_buffer_fraction = 8;
 
 }  // namespace
 
@@ -63,6 +67,17 @@
   }
 }
 
+bool buffer_manager::has_large_buffer() const noexcept {
+  const std::size_t limit = account_->budget() / large_buffer_fraction / large_receive_buffer_bytes;
+  return large_buffers_ < limit;
+}
+
+bool buffer_manager::take_large_buffer() noexcept {
+  const bool taken = !account_->limited() && has_large_buffer();
+  large_buffers_ += taken ? 1 : 0;
+  return taken;
+}
+
 void buffer_manager::count_refusal(memory_refusal reason) {
   ++refusals_[reason];
   ++unreported_[reason];
--- a/Source/transport/buffer_manager.h
+++ b/Source/transport/buffer_manager.h
@@ -64,6 +64,11 @@
   /// Makes a review due soon if the budget is nearly used.
   void check();
 
+  /// Takes one of the large receive buffers. Returns false if all are in use or memory is short.
+  [[nodiscard]] bool take_large_buffer() noexcept;
+  void return_large_buffer() noexcept { --large_buffers_; }
+  [[nodiscard]] bool has_large_buffer() const noexcept;
+
   void count_refusal(memory_refusal reason);
   /// Refusals since the start.
   [[nodiscard]] const refusal_counts& refusals() const noexcept { return refusals_; }
@@ -87,6 +92,7 @@
   refusal_counts refusals_;
   refusal_counts unreported_;
   std::uint64_t last_request_id_ = 0;
+  std::size_t large_buffers_ = 0;  ///< Receive buffers that have been enlarged.
   timer_handle review_timer_;
   timer_handle report_timer_;
 };
--- a/Source/transport/connection_limit.cpp
+++ b/Source/transport/connection_limit.cpp
@@ -29,11 +29,13 @@
   return configured == 0 ? of_system : std::min(configured, of_system);
 }
 
-server_connection_limits divide_descriptors(std::size_t descriptors) {
+server_connection_limits divide_descriptors(std::size_t descriptors,
+                                            std::size_t unread_budget_bytes) {
   const std::size_t files = std::min(file_descriptors, descriptors / reserved_fraction);
   const std::size_t own = descriptors / reserved_fraction;
   // The refused connections are part of those of callers.
-  const std::size_t open = descriptors - files - own;
+  const std::size_t open =
+      std::min(descriptors - files - own, unread_budget_bytes / unread_limit_bytes);
   const std::size_t refused = refused_connection_limit(open);
   return {std::max(minimum_connections, open - std::min(open, refused)),
           std::max(minimum_connections, descriptors / other_server_fraction)};
--- a/Source/transport/connection_limit.h
+++ b/Source/transport/connection_limit.h
@@ -5,6 +5,14 @@
 
 namespace crocusdoor {
 
+/// Receive buffer of a client's connection, in bytes. It is small, because the kernel may hold that
+/// much for each client that is not read; a request that needs more gets a larger one.
+inline constexpr int receive_buffer_bytes = 6'144;
+/// Most bytes that the kernel holds unread with that buffer.
+inline constexpr std::size_t unread_limit_bytes = 9'216;
+/// Receive buffer of a connection with a large request, in bytes.
+inline constexpr int large_receive_buffer_bytes = 65'536;
+
 /// Numbers of connections that the servers of a process keep open.
 struct server_connection_limits {
   std::size_t callers = 0;  ///< Of the server for callers.
@@ -25,8 +33,10 @@
 [[nodiscard]] std::size_t descriptor_limit(std::size_t configured);
 
 /// Divides the descriptors of a process. A quarter of them is for the process itself: the store,
-/// the target, peers and further servers. Others are for files.
-[[nodiscard]] server_connection_limits divide_descriptors(std::size_t descriptors);
+/// the target, peers and further servers. Others are for files. The unread bytes of all callers fit
+/// into `unread_budget_bytes`.
+[[nodiscard]] server_connection_limits divide_descriptors(std::size_t descriptors,
+                                                          std::size_t unread_budget_bytes);
 
 /// Connections above the limit that a server may have open while it refuses them.
 [[nodiscard]] constexpr std::size_t refused_connection_limit(std::size_t connections) noexcept {
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -38,6 +38,8 @@
 constexpr const char* memory_retry_after = "2";
 /// Sent with a refusal for lack of connections. Unfinished requests may be refused after this time.
 constexpr const char* connections_retry_after = "1";
+/// A request of which this much has arrived needs a larger receive buffer to arrive soon.
+constexpr std::size_t large_buffer_request_bytes = 4'096;
 constexpr int status_request_timeout = 408;
 constexpr int status_unavailable = 503;
 
@@ -81,7 +83,9 @@
   }
   undelivered_action_ = std::move(on_undelivered);
   const std::shared_ptr<http_server_state> server = server_.lock();
-  const bool keep_open = keep_alive_ && server != nullptr && !server->closing &&
+  // The client of a connection that ends connects again, with a small receive buffer.
+  const bool buffer_needed = large_buffer_ && !buffers_->has_large_buffer();
+  const bool keep_open = keep_alive_ && server != nullptr && !server->closing && !buffer_needed &&
                          !has_token(header_value(response.headers, "Connection"), "close");
   write(write_response(response, request.method, keep_open));
   exchange_.reset();
@@ -107,6 +111,10 @@
   bufferevent_free(stream_);
   stream_ = nullptr;
   update_charges();
+  if (large_buffer_) {
+    large_buffer_ = false;
+    buffers_->return_large_buffer();
+  }
   if (const auto server = server_.lock()) {
     --server->counts.open;
     server->ending_count -= was_ending ? 1 : 0;
@@ -355,6 +363,7 @@
   }
   if (incomplete) {
     set_reading(buffers_->may_read(*this));
+    enlarge_buffer();
   } else if (phase_ == phase::answering) {
     // Pipelined input is read when the response has been sent.
     set_reading(!buffers_->account()->limited());
@@ -364,6 +373,14 @@
   }
 }
 
+void http_server_connection::enlarge_buffer() {
+  if (!large_buffer_ && reading_ && request_bytes_ >= large_buffer_request_bytes &&
+      buffers_->take_large_buffer()) {
+    large_buffer_ = true;
+    set_receive_buffer(bufferevent_getfd(stream_), large_receive_buffer_bytes);
+  }
+}
+
 void http_server_connection::post_read() {
   const auto server = server_.lock();
   if (server != nullptr && (!input_.empty() || pending_input() > 0)) {
--- a/Source/transport/http_connection.h
+++ b/Source/transport/http_connection.h
@@ -135,6 +135,9 @@
 
   void refuse(int status, const http_headers& headers = {});
 
+  /// Enlarges the receive buffer for a request that needs more, if there is room for it.
+  void enlarge_buffer();
+
   /// Counts what is buffered now and stops reading if the memory of the process requires it.
   void update_charges();
 
@@ -184,6 +187,7 @@
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool refused_ = false;           ///< Whether the last response is a refusal of this server.
+  bool large_buffer_ = false;      ///< Whether the receive buffer has been enlarged.
   std::size_t request_bytes_ = 0;  ///< Received of the current request.
   bool served_ = false;            ///< Whether a request of this connection has been answered.
   bool sending_ended_ = false;
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -199,10 +199,10 @@
                          http_server_limits limits, std::shared_ptr<buffer_manager> buffers)
     : state_(std::make_shared<detail::http_server_state>(loop, std::move(on_request), limits,
                                                          std::move(buffers))) {
-  state_->listener =
-      std::make_unique<tcp_listener>(loop, local, [state = state_.get()](std::intptr_t accepted) {
-        state->accept(static_cast<int>(accepted));
-      });
+  state_->listener = std::make_unique<tcp_listener>(
+      loop, local,
+      [state = state_.get()](std::intptr_t accepted) { state->accept(static_cast<int>(accepted)); },
+      receive_buffer_bytes);
   state_->timeout_check_timer =
       loop.every(timeout_check_interval, [state = state_.get()] { state->check_connections(); });
 }
--- a/Source/transport/tcp_listener.cpp
+++ b/Source/transport/tcp_listener.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "transport/socket_address.h"
+#include "transport/socket_options.h"
 
 namespace crocusdoor {
 
@@ -38,7 +39,7 @@
 };
 
 tcp_listener::tcp_listener(event_loop& loop, const ip_endpoint& local,
-                           std::function<void(std::intptr_t)> accepted)
+                           std::function<void(std::intptr_t)> accepted, int receive_buffer)
     : state_(std::make_unique<state>(state{loop, std::move(accepted)})) {
   const auto address = detail::to_socket_address(local);
   if (!address.has_value()) {
@@ -52,6 +53,9 @@
     throw std::runtime_error("cannot listen on " + to_string(local));
   }
   evconnlistener_set_error_cb(state_->listener, &state::on_error);
+  if (receive_buffer > 0) {
+    detail::set_receive_buffer(evconnlistener_get_fd(state_->listener), receive_buffer);
+  }
   sockaddr_in bound{};
   socklen_t bound_length = sizeof(bound);
   getsockname(evconnlistener_get_fd(state_->listener), reinterpret_cast<sockaddr*>(&bound),
--- a/Source/transport/tcp_listener.h
+++ b/Source/transport/tcp_listener.h
@@ -12,9 +12,10 @@
 /// the socket stays readable until the connection is accepted.
 class tcp_listener {
  public:
-  /// Throws std::runtime_error if the endpoint cannot be bound.
+  /// Throws std::runtime_error if the endpoint cannot be bound. The accepted connections have a
+  /// receive buffer of this size from their handshake on; 0 leaves the size to the system.
   tcp_listener(event_loop& loop, const ip_endpoint& local,
-               std::function<void(std::intptr_t descriptor)> accepted);
+               std::function<void(std::intptr_t descriptor)> accepted, int receive_buffer = 0);
   ~tcp_listener();
   tcp_listener(const tcp_listener&) = delete;
   tcp_listener& operator=(const tcp_listener&) = delete;
--- a/Tests/memory/memory_test.cpp
+++ b/Tests/memory/memory_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <iostream>
 
@@ -161,6 +162,36 @@
   check_under(crowd, process, at_once);
 }
 
+TEST_CASE("bytes that were received and not read stay within the memory") {
+  // The platform counts them like memory of the process. 600 clients that send to a process which
+  // reads nothing leave more than the machine has, if the system lets each of them send 128 kB.
+  constexpr std::size_t unread_crowd_size = 600;
+  constexpr std::size_t unread_body_bytes = 900'000;
+  constexpr int looks = 40;
+  loaded_process process(memory_mb, {});
+  client_crowd crowd;
+  for (std::size_t i = 0; i < unread_crowd_size; ++i) {
+    crowd.add(
+        process.ports().callers,
+        {request_head("POST", "Content-Length: " + std::to_string(unread_body_bytes) + "\r\n\r\n"),
+         std::string(missing_bytes, 'b'), unread_body_bytes / missing_bytes - 1, ""});
+  }
+  std::size_t most_unread = 0;
+  std::size_t most_held = 0;
+  for (int look = 0; look < looks; ++look) {
+    crowd.send_for(piecewise, std::chrono::milliseconds(100));
+    const std::size_t unread = process.unread_bytes();
+    most_unread = std::max(most_unread, unread);
+    most_held = std::max(most_held, unread + process.usage().resident_bytes);
+  }
+  std::cout << "resident and unread kB " << most_held / 1'000 << ", unread kB "
+            << most_unread / 1'000 << "; connected " << crowd.connected() << "; sent kB "
+            << crowd.sent_bytes() / 1'000 << std::endl;
+  CHECK(most_held <= resident_limit_bytes);
+  CHECK(process.serves());
+  CHECK(process.alive());
+}
+
 TEST_CASE("requests with very many header fields stay within the memory") {
   // Each field of a few bytes needs far more memory in containers than on the connection.
   loaded_process process(memory_mb, {});
--- a/Tests/transport/eviction_order_test.cpp
+++ b/Tests/transport/eviction_order_test.cpp
@@ -46,8 +46,9 @@
 }
 
 TEST_CASE("the descriptors of a process are divided") {
+  constexpr std::size_t ample_budget = 1'000'000'000;
   SECTION("on a machine of the platform callers get more than 2,000 connections") {
-    const server_connection_limits limits = divide_descriptors(4'100);
+    const server_connection_limits limits = divide_descriptors(4'100, ample_budget);
     CHECK(limits.callers >= 2'000);
     SECTION("and leave a quarter and the files alone, also while others are refused") {
       CHECK(limits.callers + refused_connection_limit(limits.callers) <= 4'100 - 1'025 - 200);
@@ -56,10 +57,19 @@
   SECTION("with few descriptors a quarter of them is left as well") {
     for (const std::size_t descriptors : {64, 100, 300, 1'024}) {
       CAPTURE(descriptors);
-      const server_connection_limits limits = divide_descriptors(descriptors);
+      const server_connection_limits limits = divide_descriptors(descriptors, ample_budget);
       CHECK(limits.callers + refused_connection_limit(limits.callers) <= descriptors * 3 / 4);
     }
   }
+  SECTION("the unread bytes of all connections fit into their budget") {
+    for (const std::size_t megabytes : {16, 22, 27, 40}) {
+      CAPTURE(megabytes);
+      const std::size_t budget = megabytes * 1'000'000;
+      const server_connection_limits limits = divide_descriptors(4'100, budget);
+      CHECK((limits.callers + refused_connection_limit(limits.callers)) * unread_limit_bytes <=
+            budget);
+    }
+  }
 }
 
 }  // namespace crocusdoor
