Detect the end of a client behind more input than is held

Callers saw: since connections have small receive buffers, a client that sent 150 kB behind its request and closed was not noticed while the request was answered; its work went on. Cause: at 64 kB of input behind a request reading stops. The end of the client's side stays in its own kernel, because the receive buffer has no room for the bytes before it. Change: if the input is still full when the request has not been answered 200 ms after its first byte, it is discarded, and the response ends the connection. The input was never read as requests. Discarding at once, without the 200 ms, failed "a client that sends requests without end does not fill the memory". Conclusion: the end is read like any other. A client that waits for its answer never has 64 kB behind it.

--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -24,6 +24,9 @@
 constexpr duration linger_time = std::chrono::seconds(1);
 /// Maximum input of one connection that waits to be handled; it holds pipelined requests.
 constexpr std::size_t input_limit_bytes = 65'536;
+/// Input behind a request is discarded if it has reached the limit and the request is not answered
+/// this long after its first byte.
+constexpr duration full_input_time = std::chrono::milliseconds(200);
 /// No further request of a connection is read while more output than this is unsent.
 constexpr std::size_t unsent_limit_bytes = 65'536;
 /// A response that is not acknowledged this long after it was sent is checked for progress.
@@ -140,16 +143,27 @@
       check_unused(linger_time, limits, now);
       break;
     case phase::answering:
-      if ((!reading_ || pending_input() >= input_limit_bytes) && client_has_closed()) {
-        // Reading has stopped, so the loop would not report that the client closed.
-        client_closed(delivery_failure::closed_by_client);
-      }
+      check_answering(now);
       break;
     case phase::closed:
       break;
   }
 }
 
+void http_server_connection::check_answering(time_point now) {
+  const bool full = pending_input() >= input_limit_bytes;
+  if ((!reading_ || full) && client_has_closed()) {
+    // Reading has stopped, so the loop would not report that the client closed.
+    client_closed(delivery_failure::closed_by_client);
+  } else if (full && now - request_started_at_ >= full_input_time) {
+    // The end of the client's side is behind bytes that the receive buffer has no room for. They
+    // are discarded, and the response ends the connection.
+    discards_input_ = true;
+    keep_alive_ = false;
+    evbuffer_drain(bufferevent_get_input(stream_), pending_input());
+  }
+}
+
 bool http_server_connection::is_active() {
   return phase_ == phase::reading || phase_ == phase::answering ||
          (phase_ == phase::idle && !is_idle()) || (phase_ == phase::lingering && !is_delivered());
@@ -403,6 +417,9 @@
   if (phase_ == phase::answering) {
     // libevent keeps reading up to the limit and detects that the client closes; the bytes stay
     // buffered until the response is sent.
+    if (discards_input_) {
+      evbuffer_drain(bufferevent_get_input(stream_), pending_input());
+    }
     update_charges();
     return;
   }
--- a/Source/transport/http_connection.h
+++ b/Source/transport/http_connection.h
@@ -126,6 +126,8 @@
 
   void check_reading(const http_server_limits& limits, time_point now);
 
+  void check_answering(time_point now);
+
   void write(const std::string& bytes);
 
   /// Shuts down the sending side once the output is written; the connection then lingers.
@@ -186,6 +188,7 @@
   phase phase_ = phase::idle;
   bool keep_alive_ = true;
   bool continue_sent_ = false;
+  bool discards_input_ = false;  ///< Whether input behind the current request is discarded.
   bool refused_ = false;           ///< Whether the last response is a refusal of this server.
   bool large_buffer_ = false;      ///< Whether the receive buffer has been enlarged.
   std::size_t request_bytes_ = 0;  ///< Received of the current request.
