Pass large bodies on while they arrive

Callers saw: a single request with a body of 64 MiB, which operators allow, got 413 after all of it was sent, with its length announced and in chunks. Cause: http_body_limit_bytes, 1 MB, stood for the limit of every configuration, because a sidecar held each body whole, in four copies while it was forwarded; no machine has the memory for that. Change: a body above 1 MB is read in parts. Up to 1 MB nothing changes. A request is not sent again once a part was asked for. At most four such requests of callers at a sidecar and a quarter of a target's slots; further ones get 503 at once. Conclusion: the size of a body no longer matters for the memory, only the number of those being read.

--- a/Source/daemon/peer_session.cpp
+++ b/Source/daemon/peer_session.cpp
@@ -18,7 +18,8 @@
 bool belongs_to_request(const wire::message& content) {
   return is_one_of<wire::call, wire::call_answer, wire::call_cancel, wire::call_status,
                    wire::call_status_answer, wire::claim_request, wire::claim_answer,
-                   wire::claim_complete, wire::claim_complete_answer>(content);
+                   wire::claim_complete, wire::claim_complete_answer, wire::body_request,
+                   wire::body_part>(content);
 }
 
 /// Whether a message tells the peer the outcome of something that it has asked for.
--- a/Source/daemon/request_identity.h
+++ b/Source/daemon/request_identity.h
@@ -19,6 +19,15 @@
   return digest_of({request.service.str(), request.method, request.path, request.body.bytes});
 }
 
+/// What stands for the body of a call in its digest. A body that follows is not known yet; its size
+/// tells it from others.
+[[nodiscard]] inline std::string identified_body(const wire::call& request) {
+  if (!request.streamed.has_value()) {
+    return request.body.bytes;
+  }
+  return "streamed " + std::to_string(request.streamed->bytes.value_or(0));
+}
+
 /// Digest of method, host, path and body, which stay the same when a caller repeats a request, also
 /// if its route leads to another service by then.
 [[nodiscard]] inline digest repeated_request_digest(const wire::call& request) {
@@ -30,7 +39,7 @@
       });
   return digest_of({request.method,
                     host == request.headers.end() ? std::string_view() : host->second, request.path,
-                    request.body.bytes});
+                    identified_body(request)});
 }
 
 /// The headers of a request as features, so that the requests of different callers can be told
--- a/Source/sidecar/inbound_gateway.cpp
+++ b/Source/sidecar/inbound_gateway.cpp
@@ -121,11 +121,52 @@
   };
   const http_call call = target_.send(
       outgoing_request(*request), request->deadline - shared_.loop.now() + response_grace_time,
-      [this, request](const http_result& result) { exchange_ended(request, result); }, filter);
-  exchanges_[request->ticket] = {call, counts_at_start(*request),
+      [this, request](const http_result& result) { exchange_ended(request, result); }, filter,
+      body_stream(request));
+  exchanges_[request->ticket] = {call, counts_at_start(*request), 0,
                                  registry_.target()->announcement.born_ms};
 }
 
+std::optional<request_body_stream> inbound_gateway::body_stream(
+    const inbound_request_pointer& request) {
+  if (!request->call.streamed.has_value()) {
+    return std::nullopt;
+  }
+  return request_body_stream{request->call.streamed->bytes,
+                             [this, request] { request_body(*request); }};
+}
+
+void inbound_gateway::request_body(const inbound_request& request) {
+  const auto found = exchanges_.find(request.ticket);
+  if (found != exchanges_.end()) {
+    callbacks_.request_body(
+        request.from, {request.call.id, request.call.sender_incarnation, found->second.body_bytes});
+  }
+}
+
+void inbound_gateway::body_received(const instance_name& from, const wire::body_part& part) {
+  const inbound_request_pointer request = work_.running(from, part.sender_incarnation, part.id);
+  const auto found = request == nullptr ? exchanges_.end() : exchanges_.find(request->ticket);
+  if (found == exchanges_.end()) {
+    return;
+  }
+  running_exchange& exchange = found->second;
+  const auto size = request->call.streamed.value_or(wire::streamed_body{}).bytes;
+  const std::uint64_t received = exchange.body_bytes + part.bytes.bytes.size();
+  const bool whole = !size.has_value() || received == *size;
+  if (part.offset != exchange.body_bytes || received > size.value_or(received) ||
+      (part.last && !whole)) {
+    // A part is missing, so the target can never get the whole body.
+    work_.cancel(from, part.sender_incarnation, part.id);
+    return;
+  }
+  exchange.body_bytes = received;
+  if (part.last) {
+    work_.body_completed(request->ticket);
+  }
+  target_.write_body(exchange.call, part.bytes.bytes, part.last);
+}
+
 std::vector<crash_count> inbound_gateway::counts_at_start(const inbound_request& request) const {
   if (shared_.crashes.empty()) {
     return {};
--- a/Source/sidecar/inbound_gateway.h
+++ b/Source/sidecar/inbound_gateway.h
@@ -24,6 +24,8 @@
     /// Reads and handles all messages that the sender of a request has already sent. Returns
     /// whether the link over which the request arrived is still open.
     std::function<bool(const inbound_request&)> read_from_sender;
+    /// Asks the sender of a call for the next part of its body.
+    std::function<void(const instance_name& from, const wire::body_request&)> request_body;
     /// The target has become available, has gone or has begun to leave.
     std::function<void()> status_changed;
     /// A departure of the target has been announced or restored.
@@ -39,6 +41,9 @@
   [[nodiscard]] inbound_work& work() noexcept { return work_; }
   [[nodiscard]] const inbound_work& work() const noexcept { return work_; }
 
+  /// Passes a part of the body of a running request to the target.
+  void body_received(const instance_name& from, const wire::body_part& part);
+
   announcement_result announce(const target_announcement& announcement);
   announcement_result withdraw(const target_withdrawal& withdrawal);
   /// Restores a departure of the target that a peer or the store has kept since before a restart of
@@ -60,11 +65,16 @@
     /// Counts of the request when it began to run; empty while no crash is known to this daemon,
     /// when all of them are zero.
     std::vector<crash_count> known;
+    std::uint64_t body_bytes = 0;    ///< Of a body that follows, received so far.
     std::uint64_t target_start = 0;  ///< `born_ms` of the target; 0 if it is not known.
   };
 
   [[nodiscard]] inbound_refusal check(const inbound_request& request) const;
   void run(const inbound_request_pointer& request);
+  /// How the body of a request is written that follows its call; empty for other requests.
+  [[nodiscard]] std::optional<request_body_stream> body_stream(
+      const inbound_request_pointer& request);
+  void request_body(const inbound_request& request);
   void cancel_exchange(std::uint64_t ticket);
   [[nodiscard]] http_request outgoing_request(const inbound_request& request) const;
   /// The counts of a request now; empty while no crash is known.
--- a/Source/sidecar/inbound_work.cpp
+++ b/Source/sidecar/inbound_work.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/inbound_work.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/message_fields.h"
@@ -13,6 +14,9 @@
 /// A request with less time than this until its deadline is refused instead of being sent to the
 /// target, which could not complete it.
 constexpr duration minimum_time_left = std::chrono::milliseconds(3);
+/// A body that follows its call may arrive slowly and keep its slot meanwhile, so only one request
+/// of this many slots may have one.
+constexpr std::size_t slots_per_streamed_request = 4;
 constexpr double percent_of_one = 100;
 /// Shorter transit times do not count as a delay and are not recorded in the metrics.
 constexpr duration minimum_counted_transit = std::chrono::milliseconds(5);
@@ -41,9 +45,12 @@
   request->call = call;
   request->deadline = now + call.deadline_left_ms - call.transit;
   request->ticket = next_ticket_++;
+  request->body_complete = !call.streamed.has_value();
   inbound_refusal refusal = callbacks_.check(*request);
   if (received == receive_result::refused) {
     refusal = {"request_id_refused"};
+  } else if (call.streamed.has_value() && streamed_requests() >= streamed_limit()) {
+    refusal = {"streams_busy"};
   } else if (ends_at_.has_value() && request->deadline > *ends_at_) {
     refusal = {"stopping"};
   }
@@ -194,6 +201,20 @@
   return nullptr;
 }
 
+inbound_request_pointer inbound_work::running(const instance_name& from,
+                                              std::uint64_t sender_incarnation,
+                                              wire::request_id id) const {
+  const request_pointer request = find(from, sender_incarnation, id);
+  return request != nullptr && request->started_at.has_value() ? request : nullptr;
+}
+
+void inbound_work::body_completed(std::uint64_t ticket) {
+  const auto found = requests_.find(ticket);
+  if (found != requests_.end()) {
+    found->second->body_complete = true;
+  }
+}
+
 void inbound_work::cancel(const instance_name& from, std::uint64_t sender_incarnation,
                           wire::request_id id) {
   const request_pointer request = find(from, sender_incarnation, id);
@@ -217,7 +238,7 @@
     drop(request, {reason, duration::zero()});
     return;
   }
-  if (!request->call.idempotent) {
+  if (!request->call.idempotent && request->body_complete) {
     return;
   }
   callbacks_.stop(request->ticket);
@@ -272,7 +293,18 @@
   return ledger_.query(from, query.sender_incarnation, query.id, shared_.timers.now());
 }
 
+std::size_t inbound_work::streamed_requests() const {
+  return static_cast<std::size_t>(
+      std::count_if(requests_.begin(), requests_.end(),
+                    [](const auto& entry) { return entry.second->call.streamed.has_value(); }));
+}
+
+std::size_t inbound_work::streamed_limit() const {
+  return std::max<std::size_t>(1, slots_ / slots_per_streamed_request);
+}
+
 void inbound_work::set_slots(std::int32_t slots) {
+  slots_ = static_cast<std::size_t>(std::max(slots, 0));
   apply(queue_.set_slots(slots, shared_.timers.now()));
 }
 
--- a/Source/sidecar/inbound_work.h
+++ b/Source/sidecar/inbound_work.h
@@ -27,6 +27,7 @@
   time_point deadline;
   std::uint64_t ticket = 0;
   std::optional<time_point> started_at;  ///< When it was sent to the target.
+  bool body_complete = true;             ///< Whether all of a body that follows has arrived.
 };
 
 /// Delay before a caller may try again at another target.
@@ -85,6 +86,13 @@
   /// The exchange with the target has ended, with or without a response of the target.
   void finish(const inbound_request_pointer& request, wire::call_answer response, bool failed);
 
+  /// The request with this id that was sent to the target; null if there is none.
+  [[nodiscard]] inbound_request_pointer running(const instance_name& from,
+                                                std::uint64_t sender_incarnation,
+                                                wire::request_id id) const;
+  /// The whole body of a request has been passed to the target.
+  void body_completed(std::uint64_t ticket);
+
   /// Sets the time at which the process ends. Requests with later deadlines are refused.
   void end_at(time_point when) { ends_at_ = when; }
   void set_slots(std::int32_t slots);
@@ -103,13 +111,17 @@
 
   [[nodiscard]] request_pointer find(const instance_name& from, std::uint64_t sender_incarnation,
                                      wire::request_id id) const;
+  /// Requests whose bodies follow their calls, and how many of them may wait or run.
+  [[nodiscard]] std::size_t streamed_requests() const;
+  [[nodiscard]] std::size_t streamed_limit() const;
   void apply(const slot_changes& changes);
   void start_admitted();
   void start(const request_pointer& request, bool link_open);
   void abandon_all(const instance_name& peer, const std::string& reason,
                    const std::function<bool(const wire::call&)>& matches);
   /// Ends a request whose response nobody waits for any more. A request that is running and is not
-  /// idempotent continues, because completing it is more important than freeing its slot.
+  /// idempotent continues, because completing it is more important than freeing its slot, unless
+  /// the rest of its body cannot arrive any more.
   void abandon(const request_pointer& request, const std::string& reason);
   /// Refuses a request that has not been sent to the target, and frees its queue entry or slot.
   void drop(const request_pointer& request, const inbound_refusal& refusal);
@@ -128,6 +140,7 @@
   std::deque<std::uint64_t> admitted_;  ///< Tickets of requests that have a slot and start next.
   timer_handle start_timer_;
   std::uint64_t next_ticket_ = 1;
+  std::size_t slots_ = 0;
   std::optional<time_point> ends_at_;
   timer_handle queue_timer_;
   timer_handle ledger_timer_;
--- a/Source/sidecar/outbound_request.cpp
+++ b/Source/sidecar/outbound_request.cpp
@@ -221,6 +221,9 @@
   headers[shared_.contract.headers.caller_service] = shared_.options.target.service.str();
   call_.headers = {headers.begin(), headers.end()};
   call_.body.bytes = received.body;
+  if (exchange_->streamed()) {
+    call_.streamed = wire::streamed_body{exchange_->body_length()};
+  }
   call_.idempotent = route_.idempotent;
   call_.rank = route_.rank;
   call_.work_class = route_.name.str();
@@ -241,6 +244,10 @@
   }
   const instance_name& instance = *choice.instance;
   tried_.push_back(instance);
+  if (call_.streamed.has_value() && !services_.streams_bodies(instance)) {
+    send_attempt();
+    return;
+  }
   call_.deadline_left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now);
   call_.objective_left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       arrived_at_ + route_.latency_objective_ms - now);
@@ -257,6 +264,21 @@
                             [self = shared_from_this(), index](const call_outcome& outcome) {
                               self->attempt_ended(index, outcome);
                             });
+  if (call_.streamed.has_value()) {
+    offer_body(attempts_[index]);
+  }
+}
+
+void outbound_request::offer_body(const attempt& started) {
+  services_.bodies.add(
+      started.id, started.instance,
+      [weak = weak_from_this()](std::size_t limit_bytes, body_sender::part_action action) {
+        const auto self = weak.lock();
+        if (self != nullptr && self->exchange_ != nullptr) {
+          self->body_begun_ = true;
+          self->exchange_->read_body(limit_bytes, std::move(action));
+        }
+      });
 }
 
 placement outbound_request::choose_upstream(time_point now) {
@@ -369,6 +391,7 @@
 
 void outbound_request::attempt_ended(std::size_t index, const call_outcome& outcome) {
   attempts_[index].finished = true;
+  services_.bodies.remove(attempts_[index].id);
   record_quality(attempts_[index], outcome);
   if (!outcome.response.has_value() || outcome.response->reached_target) {
     ++arrivals_;
@@ -411,6 +434,9 @@
 }
 
 bool outbound_request::may_retry(const call_outcome& outcome) {
+  if (body_begun_) {
+    return false;  // What has been passed on is not held here.
+  }
   const time_point now = shared_.loop.now();
   const bool proved_not_run = outcome_so_far_ == verdict::not_run;
   if (!proved_not_run && !route_.idempotent) {
@@ -476,6 +502,7 @@
 void outbound_request::cancel_attempts() {
   for (const attempt& pending : attempts_) {
     if (!pending.finished) {
+      services_.bodies.remove(pending.id);
       services_.router.cancel(pending.id);
     }
   }
--- a/Source/sidecar/outbound_request.h
+++ b/Source/sidecar/outbound_request.h
@@ -48,6 +48,8 @@
   /// Ends the request if it has crashed the targets that have run it; returns whether it has ended.
   bool refuse_crashing();
   [[nodiscard]] placement choose_upstream(time_point now);
+  /// Lets the daemon of the upstream ask for the parts of the body.
+  void offer_body(const attempt& started);
   /// Records the version to which the attempt is sent.
   void choose_version(attempt& started);
   void finish_without_upstream(const placement& choice);
@@ -87,6 +89,7 @@
   wire::call call_;
   bool holds_token_ = false;          ///< Of the quota of the workspace.
   request_identity identity_;         ///< Of `call_`.
+  bool body_begun_ = false;           ///< Whether a part of a streamed body has been asked for.
   std::vector<crash_count> crashes_;  ///< Counts of the request before the latest attempt.
   std::vector<attempt> attempts_;
   std::vector<instance_name> tried_;  ///< Upstreams of the attempts, in their order.
--- a/Source/sidecar/outbound_services.h
+++ b/Source/sidecar/outbound_services.h
@@ -11,6 +11,7 @@
 #include "mesh/upstream_pool.h"
 #include "mesh/weighted_rotation.h"
 #include "rollout/rollout_table.h"
+#include "sidecar/body_sender.h"
 #include "sidecar/quota_exchange.h"
 #include "sidecar/sidecar_context.h"
 
@@ -37,6 +38,10 @@
   /// Asks for a newer proof and calls the action once when the proof or the configuration has
   /// changed. Returns false if too many requests wait already.
   std::function<bool(std::function<void()>)> await_proof;
+  /// Sends the bodies that follow their calls.
+  body_sender& bodies;
+  /// Whether an instance asks for bodies that follow their calls.
+  std::function<bool(const instance_name&)> streams_bodies;
 };
 
 }  // namespace crocusdoor
--- a/Source/sidecar/sidecar_daemon.cpp
+++ b/Source/sidecar/sidecar_daemon.cpp
@@ -130,6 +130,14 @@
             mesh_->send(peer, content);
           },
           [this](const instance_name& peer) { mesh_->announce_version(peer); }});
+  bodies_ = std::make_unique<body_sender>(
+      shared_.self.incarnation, [this](const instance_name& to, const wire::body_part& part) {
+        if (to == shared_.self.name) {
+          loop_.post([this, part] { gateway_->body_received(shared_.self.name, part); });
+        } else {
+          mesh_->send(to, part);
+        }
+      });
   gateway_ = std::make_unique<inbound_gateway>(
       shared_,
       inbound_gateway::handlers{
@@ -144,6 +152,13 @@
             return request.from == shared_.self.name ||
                    mesh_->read_received_data(request.from, request.call.link);
           },
+          [this](const instance_name& from, const wire::body_request& request) {
+            if (from == shared_.self.name) {
+              bodies_->requested(from, request);
+            } else {
+              mesh_->send(from, request);
+            }
+          },
           [this] { status_changed(); },
           [this](const target_departure& departure) {
             const wire::target_departed content{shared_.self.name, departure.id, departure.born_ms,
@@ -188,6 +203,10 @@
       [this] { return configurations_->freshness().proof(); },
       [this](std::function<void()> action) {
         return configurations_->freshness().await_change(std::move(action));
+      },
+      *bodies_,
+      [this](const instance_name& instance) {
+        return instance == shared_.self.name || streaming_peers_.contains(instance);
       }});
   connect_dispatcher();
   store_->on_new_era([this](const era_change& change) { store_era_changed(change); });
@@ -270,7 +289,8 @@
 peer_mesh::handlers sidecar_daemon::mesh_handlers() {
   peer_mesh::handlers callbacks;
   callbacks.make_hello = [this](const instance_name&) {
-    return wire::hello{self_record(), digest(), 0};
+    return wire::hello{
+        .self = self_record(), .configuration_digest = digest(), .streams_bodies = true};
   };
   callbacks.configuration_version = [this] { return configurations_->version(); };
   callbacks.configuration_digest = [] { return digest(); };
@@ -281,6 +301,11 @@
   callbacks.find_endpoint = [this](const instance_name& name) { return finder_->find(name); };
   callbacks.peer_established = [this](const instance_name& peer, const wire::hello& greeting) {
     peer_introduced(peer, greeting.self);
+    if (greeting.streams_bodies) {
+      streaming_peers_.insert(peer);
+    } else {
+      streaming_peers_.erase(peer);
+    }
     // Before the record below, from which on the peer sends requests here.
     rollouts_->peer_established(peer);
     // The hello of this daemon may be older than its latest change of state, which was sent only
@@ -322,6 +347,12 @@
   dispatcher.on<wire::call>([this](const instance_name& from, const wire::call& request) {
     gateway_->work().receive(from, request);
   });
+  dispatcher.on<wire::body_request>([this](const instance_name& from, const auto& request) {
+    bodies_->requested(from, request);
+  });
+  dispatcher.on<wire::body_part>([this](const instance_name& from, const wire::body_part& part) {
+    gateway_->body_received(from, part);
+  });
   dispatcher.on<wire::call_cancel>([this](const instance_name& from, const auto& content) {
     gateway_->work().cancel(from, mesh_->call_sender_incarnation(from, content), content.id);
   });
@@ -564,7 +595,8 @@
   const caller_limits& limits = table->content().limits;
   http_server_limits server_limits;
   server_limits.size.header_bytes = limits.header_bytes;
-  server_limits.size.body_bytes = std::min(limits.body_bytes, http_body_limit_bytes);
+  server_limits.size.body_bytes = limits.body_bytes;
+  server_limits.held_body_bytes = http_body_limit_bytes;
   server_limits.header_timeout = limits.header_timeout_ms;
   server_limits.idle_timeout = limits.idle_timeout_ms;
   server_limits.connections = shared_.connections.callers;
--- a/Source/sidecar/sidecar_daemon.h
+++ b/Source/sidecar/sidecar_daemon.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 #include "daemon/peer_mesh.h"
 #include "sidecar/configuration_exchange.h"
@@ -98,6 +99,8 @@
   start_timeline start_;
   std::shared_ptr<buffer_manager> buffers_;
   sidecar_context shared_;
+  std::unique_ptr<body_sender> bodies_;
+  std::set<instance_name> streaming_peers_;  ///< They ask for bodies that follow their calls.
   upstream_pool upstreams_;
   weighted_rotation rotation_;
   std::map<service_name, retry_window> retries_;
--- a/Source/transport/http_client.cpp
+++ b/Source/transport/http_client.cpp
@@ -73,6 +73,8 @@
   http_request request;
   http_client::callback done;
   response_filter filter;
+  std::optional<request_body_stream> body;
+  bool body_complete = true;  ///< Whether the whole body has been passed on.
   timer_handle timeout;
   timer_handle silence_check;  ///< Only of a call with a long timeout.
   std::weak_ptr<class http_client_connection> connection;
@@ -82,6 +84,32 @@
 using call_pointer = std::shared_ptr<http_client_call>;
 using connection_pointer = std::shared_ptr<class http_client_connection>;
 
+namespace {
+
+/// States in the headers of a request how the end of its body is recognised.
+void set_body_framing(http_request& request, const request_body_stream& body) {
+  if (body.bytes.has_value()) {
+    request.headers["Content-Length"] = std::to_string(*body.bytes);
+  } else {
+    request.headers["Transfer-Encoding"] = "chunked";
+  }
+}
+
+/// A part of a body as a chunk, with the last chunk if it is the last part.
+std::string write_chunk(const std::string& bytes, bool last) {
+  std::string chunk;
+  if (!bytes.empty()) {
+    constexpr int hexadecimal = 16;
+    std::array<char, 16> length{};
+    char* const end =
+        std::to_chars(length.data(), length.data() + length.size(), bytes.size(), hexadecimal).ptr;
+    chunk.append(length.begin(), end).append("\r\n").append(bytes).append("\r\n");
+  }
+  return last ? chunk.append("0\r\n\r\n") : chunk;
+}
+
+}  // namespace
+
 struct http_client_state : std::enable_shared_from_this<http_client_state> {
   event_loop& loop;
   ip_endpoint remote;
@@ -109,7 +137,7 @@
       : client_(client.weak_from_this()),
         idle_limit_(client.options.idle_limit),
         stream_(bufferevent_socket_new(client.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)) {
-    bufferevent_setcb(stream_, &http_client_connection::on_read, nullptr,
+    bufferevent_setcb(stream_, &http_client_connection::on_read, &http_client_connection::on_write,
                       &http_client_connection::on_event, this);
   }
 
@@ -157,6 +185,17 @@
     }
   }
 
+  void write_body(const std::string& bytes, bool last) {
+    call_->body_complete = last;
+    part_wanted_ = false;
+    if (call_->body->bytes.has_value()) {
+      write_output(stream_, bytes);
+    } else {
+      write_output(stream_, write_chunk(bytes, last));
+    }
+    want_part();
+  }
+
   [[nodiscard]] bool busy() const noexcept { return call_ != nullptr; }
   [[nodiscard]] bool written() const noexcept { return request_written_; }
   [[nodiscard]] const call_pointer& call() const noexcept { return call_; }
@@ -198,6 +237,23 @@
     const std::string bytes = write_request(call_->request, to_string(client->remote));
     request_written_ = true;
     write_output(stream_, bytes);
+    want_part();
+  }
+
+  /// Asks for the next part of the body once all before it has been written to the socket.
+  void want_part() {
+    const auto client = client_.lock();
+    const bool written = evbuffer_get_length(bufferevent_get_output(stream_)) == 0;
+    if (client == nullptr || call_ == nullptr || call_->body_complete || !request_written_ ||
+        part_wanted_ || !written) {
+      return;
+    }
+    part_wanted_ = true;
+    client->loop.post([call = call_] {
+      if (!call->finished) {
+        call->body->part_wanted();
+      }
+    });
   }
 
   void connected() {
@@ -262,7 +318,8 @@
     if (const auto stated = stated_idle_limit(response.headers)) {
       idle_limit_ = *stated;
     }
-    const bool request_unsent = evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
+    const bool request_unsent =
+        !call_->body_complete || evbuffer_get_length(bufferevent_get_output(stream_)) > 0;
     unusable_ = unusable_ || !keep_alive || !input_.empty() || skipped_responses_ > 0 ||
                 request_unsent || match == response_match::matched_close;
     complete({http_outcome::answered, std::move(response), !reused_, false});
@@ -283,6 +340,7 @@
     idle_since_ = client->loop.now();
     reused_ = true;
     request_written_ = false;
+    part_wanted_ = false;
     client->finish(call, result);
     if (unusable_) {
       stop();
@@ -363,6 +421,10 @@
     self->read_available();
   }
 
+  static void on_write(bufferevent*, void* context) {
+    static_cast<http_client_connection*>(context)->want_part();
+  }
+
   static void on_event(bufferevent*, short what, void* context) {
     const auto self = static_cast<http_client_connection*>(context)->shared_from_this();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -384,6 +446,7 @@
   std::optional<time_point> established_at_;
   acknowledgement_watch acknowledgements_;
   bool request_written_ = false;
+  bool part_wanted_ = false;  ///< Whether the next part of the body has been asked for.
   bool reused_ = false;
   bool unusable_ = false;
   int skipped_responses_ = 0;
@@ -483,9 +546,14 @@
 }
 
 http_call http_client::send(http_request request, duration timeout, callback done,
-                            response_filter filter) {
+                            response_filter filter, std::optional<request_body_stream> body) {
   auto call = std::make_shared<detail::http_client_call>();
   call->request = std::move(request);
+  if (body.has_value()) {
+    detail::set_body_framing(call->request, *body);
+    call->body = std::move(body);
+    call->body_complete = false;
+  }
   call->done = std::move(done);
   call->filter = std::move(filter);
   const auto on_call = [state = std::weak_ptr(state_), weak_call = std::weak_ptr(call)](
@@ -508,6 +576,14 @@
   return call;
 }
 
+void http_client::write_body(const http_call& call, const std::string& bytes, bool last) {
+  const std::shared_ptr<detail::http_client_call> live = call.lock();
+  const auto connection = live == nullptr ? nullptr : live->connection.lock();
+  if (connection != nullptr && connection->call() == live && !live->body_complete) {
+    connection->write_body(bytes, last);
+  }
+}
+
 void http_client::cancel(const http_call& call) {
   const std::shared_ptr<detail::http_client_call> live = call.lock();
   if (live != nullptr && !live->finished) {
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 #include "core/enum_names.h"
 #include "core/time.h"
@@ -69,6 +71,13 @@
   duration connect_timeout = std::chrono::seconds(3);
 };
 
+/// Body of a request that is written in parts.
+struct request_body_stream {
+  std::optional<std::uint64_t>
+      bytes;  ///< Size of the body; without it the parts are sent as chunks.
+  std::function<void()> part_wanted;  ///< Called whenever the next part can be written.
+};
+
 namespace detail {
 struct http_client_state;
 struct http_client_call;
@@ -90,9 +99,15 @@
 
   /// Sends a request; `done` is called exactly once, in a later iteration of the loop, unless the
   /// request is cancelled. A request that is still queued at the timeout ends as `not_sent`.
-  /// Without `filter`, each response is taken for the response to the current request.
+  /// Without `filter`, each response is taken for the response to the current request. With `body`
+  /// the body of the request is passed to `write_body`; the server may respond before its end.
   http_call send(http_request request, duration timeout, callback done,
-                 response_filter filter = nullptr);
+                 response_filter filter = nullptr,
+                 std::optional<request_body_stream> body = std::nullopt);
+
+  /// Writes a part of the body of a request, when one is wanted. Has no effect once the request has
+  /// ended.
+  void write_body(const http_call& call, const std::string& bytes, bool last);
 
   /// Cancels a request by closing its connection; its callback is not called.
   void cancel(const http_call& call);
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -93,6 +93,7 @@
   write(write_response(response, request.method, keep_open));
   exchange_.reset();
   if (keep_open) {
+    end_stream();
     begin_request();
     post_read();
   } else {
@@ -109,6 +110,7 @@
     return;
   }
   report_undelivered(cause);
+  end_stream();
   const bool was_ending = phase_ == phase::lingering;
   phase_ = phase::closed;
   bufferevent_free(stream_);
@@ -143,14 +145,21 @@
       check_unused(linger_time, limits, now);
       break;
     case phase::answering:
-      check_answering(now);
+      check_answering(limits, now);
       break;
     case phase::closed:
       break;
   }
 }
 
-void http_server_connection::check_answering(time_point now) {
+void http_server_connection::check_answering(const http_server_limits& limits, time_point now) {
+  if (awaits_body()) {
+    const bool silent = body_action_ != nullptr && now - last_active_at_ >= limits.idle_timeout;
+    if (silent || has_failed()) {
+      client_closed(silent ? delivery_failure::client_silent : delivery_failure::connection_failed);
+    }
+    return;
+  }
   const bool full = pending_input() >= input_limit_bytes;
   if ((!reading_ || full) && client_has_closed()) {
     // Reading has stopped, so the loop would not report that the client closed.
@@ -304,6 +313,7 @@
 }
 
 void http_server_connection::finish_writing() {
+  end_stream();
   phase_ = phase::lingering;
   if (const auto server = server_.lock()) {
     server->ending.push_back(weak_from_this());
@@ -352,13 +362,16 @@
 }
 
 std::size_t http_server_connection::reading_bytes() const {
-  const bool holds_request = phase_ == phase::reading;
+  const bool holds_request = phase_ == phase::reading || streaming_;
   return stream_ == nullptr
              ? 0
              : input_.capacity() + pending_input() + (holds_request ? reader_.held_bytes() : 0);
 }
 
 void http_server_connection::update_charges() {
+  if (awaits_body()) {
+    set_reading(body_action_ != nullptr);
+  }
   if (buffers_ == nullptr) {
     return;
   }
@@ -380,7 +393,7 @@
     enlarge_buffer();
   } else if (phase_ == phase::answering) {
     // Pipelined input is read when the response has been sent.
-    set_reading(!buffers_->account()->limited());
+    set_reading(awaits_body() ? body_action_ != nullptr : !buffers_->account()->limited());
     buffers_->check();
   } else {
     set_reading(true);
@@ -414,6 +427,10 @@
     evbuffer_drain(bufferevent_get_input(stream_), pending_input());
     return;
   }
+  if (awaits_body()) {
+    read_streamed_body();
+    return;
+  }
   if (phase_ == phase::answering) {
     // libevent keeps reading up to the limit and detects that the client closes; the bytes stay
     // buffered until the response is sent.
@@ -458,6 +475,9 @@
     continue_sent_ = true;
     write("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  if (progress == read_progress::incomplete && must_stream()) {
+    dispatch_stream();
+  }
 }
 
 void http_server_connection::dispatch_request() {
@@ -481,6 +501,95 @@
   server->on_request(exchange);
 }
 
+bool http_server_connection::must_stream() const {
+  const auto server = server_.lock();
+  return server != nullptr && phase_ == phase::reading && reader_.in_body() &&
+         std::max<std::uint64_t>(reader_.body_length().value_or(0), reader_.untaken_body_bytes()) >
+             server->limits.held_body_bytes;
+}
+
+void http_server_connection::dispatch_stream() {
+  const auto server = server_.lock();
+  phase_ = phase::answering;
+  undelivered_action_ = nullptr;
+  keep_alive_ = false;
+  const bool limited = buffers_ != nullptr && buffers_->account()->limited();
+  if (limited || server->streamed_requests >= server->limits.streamed_requests) {
+    refuse_for_memory(memory_refusal::no_room);
+    return;
+  }
+  streaming_ = true;
+  ++server->streamed_requests;
+  const auto exchange = std::make_shared<http_exchange>(shared_from_this(), reader_.take_head(),
+                                                        account_of(buffers_));
+  exchange->streamed_ = true;
+  exchange->body_length_ = reader_.body_length();
+  exchange_ = exchange;
+  update_charges();
+  server->on_request(exchange);
+}
+
+void http_server_connection::read_body(std::size_t limit, http_exchange::body_action action) {
+  const auto server = server_.lock();
+  if (stream_ == nullptr || !streaming_ || server == nullptr) {
+    return;
+  }
+  wanted_body_bytes_ = limit;
+  body_action_ = std::move(action);
+  last_active_at_ = now();
+  server->loop.post([self = shared_from_this()] { self->provide_body(); });
+}
+
+void http_server_connection::read_streamed_body() {
+  last_active_at_ = now();
+  request_bytes_ += pending_input();
+  append_input(stream_, input_);
+  const read_progress progress = reader_.read(input_);
+  if (progress == read_progress::refused) {
+    fail_stream();
+    return;
+  }
+  if (progress == read_progress::complete) {
+    body_complete_ = true;
+    keep_alive_ = reader_.keep_alive();
+  }
+  if (buffers_ != nullptr) {
+    enlarge_buffer();
+  }
+  provide_body();
+}
+
+void http_server_connection::provide_body() {
+  const bool available = streaming_ && (body_complete_ || reader_.untaken_body_bytes() > 0);
+  if (body_action_ == nullptr || !available) {
+    update_charges();
+    return;
+  }
+  std::string bytes = reader_.take_body(wanted_body_bytes_);
+  const bool last = body_complete_ && reader_.untaken_body_bytes() == 0;
+  const http_exchange::body_action action = std::exchange(body_action_, nullptr);
+  update_charges();
+  action(std::move(bytes), last);
+}
+
+void http_server_connection::fail_stream() {
+  const std::shared_ptr<http_exchange> exchange = exchange_.lock();
+  refuse(reader_.refusal_status());
+  if (exchange != nullptr) {
+    exchange->client_disconnected();
+  }
+}
+
+void http_server_connection::end_stream() {
+  body_action_ = nullptr;
+  body_complete_ = false;
+  const auto server = server_.lock();
+  if (streaming_ && server != nullptr) {
+    --server->streamed_requests;
+  }
+  streaming_ = false;
+}
+
 bool http_server_connection::has_room_for(const http_request& request) const {
   const std::size_t bytes = http_exchange::forwarding_bytes(request);
   // One request may exceed the budget. Reading stops at three quarters of it, so otherwise no
--- a/Source/transport/http_connection.h
+++ b/Source/transport/http_connection.h
@@ -27,6 +27,7 @@
   std::set<connection_pointer> connections;
   /// Connections that have sent their last response, in the order in which they did.
   std::deque<std::weak_ptr<http_server_connection>> ending;
+  std::size_t streamed_requests = 0;
   std::size_t ending_count = 0;  ///< Those of them that are open.
   connection_counts counts;
   /// Connections that may be closed for new ones, the one of least use first.
@@ -98,6 +99,9 @@
   void set_reading(bool enabled) override;
   void refuse_for_memory(memory_refusal reason) override;
 
+  /// Provides the next part of the body of a streamed request, see `http_exchange`.
+  void read_body(std::size_t limit, http_exchange::body_action action);
+
   /// Bytes of responses that the client has not acknowledged.
   [[nodiscard]] std::size_t undelivered_bytes() const;
 
@@ -126,7 +130,7 @@
 
   void check_reading(const http_server_limits& limits, time_point now);
 
-  void check_answering(time_point now);
+  void check_answering(const http_server_limits& limits, time_point now);
 
   void write(const std::string& bytes);
 
@@ -159,6 +163,26 @@
 
   void dispatch_request();
 
+  /// Whether the body is larger than what is held of a request.
+  [[nodiscard]] bool must_stream() const;
+
+  /// Passes a request on whose body is then read in parts.
+  void dispatch_stream();
+
+  /// Reads the body of a streamed request. It is read only while a part is wanted, so that the
+  /// client waits in TCP otherwise.
+  void read_streamed_body();
+
+  /// Passes a part of the body on if one is wanted and has arrived.
+  void provide_body();
+
+  /// Ends a streamed request whose body is malformed or too large.
+  void fail_stream();
+
+  void end_stream();
+
+  [[nodiscard]] bool awaits_body() const noexcept { return streaming_ && !body_complete_; }
+
   /// Whether the request can be forwarded within the memory of the process.
   [[nodiscard]] bool has_room_for(const http_request& request) const;
 
@@ -189,10 +213,14 @@
   bool keep_alive_ = true;
   bool continue_sent_ = false;
   bool discards_input_ = false;  ///< Whether input behind the current request is discarded.
-  bool refused_ = false;           ///< Whether the last response is a refusal of this server.
-  bool large_buffer_ = false;      ///< Whether the receive buffer has been enlarged.
-  std::size_t request_bytes_ = 0;  ///< Received of the current request.
-  bool served_ = false;            ///< Whether a request of this connection has been answered.
+  bool refused_ = false;         ///< Whether the last response is a refusal of this server.
+  bool large_buffer_ = false;    ///< Whether the receive buffer has been enlarged.
+  bool streaming_ = false;       ///< Whether the body of the request is read in parts.
+  bool body_complete_ = false;   ///< Whether the end of a streamed body has been read.
+  std::size_t wanted_body_bytes_ = 0;
+  http_exchange::body_action body_action_;  ///< Set while a part of the body is wanted.
+  std::size_t request_bytes_ = 0;           ///< Received of the current request.
+  bool served_ = false;  ///< Whether a request of this connection has been answered.
   bool sending_ended_ = false;
   bool client_ended_ = false;        ///< Whether the client has ended its sending side.
   bool delivering_ = false;          ///< Whether the last response may not be acknowledged yet.
--- a/Source/transport/http_framing.cpp
+++ b/Source/transport/http_framing.cpp
@@ -217,6 +217,25 @@
   return parser_->parser.is_header_done() && !parser_->parser.is_done();
 }
 
+std::optional<std::uint64_t> http_request_reader::body_length() const {
+  const auto length = parser_->parser.content_length();
+  return length.has_value() ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+std::size_t http_request_reader::untaken_body_bytes() const {
+  return parser_->parser.get().body().size();
+}
+
+std::string http_request_reader::take_body(std::size_t limit) {
+  std::string& body = parser_->parser.get().body();
+  if (body.size() <= limit) {
+    return std::exchange(body, std::string());
+  }
+  std::string part = body.substr(0, limit);
+  body.erase(0, limit);
+  return part;
+}
+
 bool http_request_reader::expects_continue() const {
   return has_token(header_value(request_.headers, "Expect"), "100-continue");
 }
@@ -309,7 +328,9 @@
   }
   detail::append_headers(bytes, request.headers);
   const bool has_length = !request.body.empty() || detail::has_body_by_method(request.method);
-  if (has_length && !request.headers.contains("Content-Length")) {
+  const bool framed =
+      request.headers.contains("Content-Length") || request.headers.contains("Transfer-Encoding");
+  if (has_length && !framed) {
     bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
   }
   return bytes.append("\r\n").append(request.body);
--- a/Source/transport/http_framing.h
+++ b/Source/transport/http_framing.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "transport/http_types.h"
@@ -45,6 +47,14 @@
   [[nodiscard]] std::size_t held_bytes() const;
   /// Whether the headers are complete and the body is not.
   [[nodiscard]] bool in_body() const noexcept;
+  /// Announced size of the body; empty if it is sent in chunks.
+  [[nodiscard]] std::optional<std::uint64_t> body_length() const;
+  /// Bytes of the body that have been read and not taken.
+  [[nodiscard]] std::size_t untaken_body_bytes() const;
+  /// Returns the request without its body, which is then taken in parts. Call once.
+  [[nodiscard]] http_request take_head() { return std::move(request_); }
+  /// Takes at most this many bytes from the front of the body.
+  [[nodiscard]] std::string take_body(std::size_t limit);
   /// Whether the client expects a 100 response before it sends the body.
   [[nodiscard]] bool expects_continue() const;
   /// Status of the response to a refused request.
--- a/Source/transport/http_server.cpp
+++ b/Source/transport/http_server.cpp
@@ -159,6 +159,12 @@
   }
 }
 
+void http_exchange::read_body(std::size_t limit, body_action action) {
+  if (streamed_ && !responded_ && !disconnected_) {
+    connection_->read_body(limit, std::move(action));
+  }
+}
+
 bool http_exchange::check_connection() {
   if (!responded_ && !disconnected_ && connection_->client_has_closed()) {
     client_disconnected();
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "core/enum_names.h"
 #include "transport/buffer_manager.h"
@@ -68,6 +72,15 @@
   http_exchange& operator=(const http_exchange&) = delete;
 
   [[nodiscard]] const http_request& request() const noexcept { return request_; }
+  /// Whether the body is not part of the request and must be read in parts.
+  [[nodiscard]] bool streamed() const noexcept { return streamed_; }
+  /// Announced size of a streamed body; empty if it is sent in chunks.
+  [[nodiscard]] std::optional<std::uint64_t> body_length() const noexcept { return body_length_; }
+  /// Reads the next part of a streamed body, at most this many bytes. `action` is called in a later
+  /// iteration of the loop; not at all if the connection ends before. `last` says whether the body
+  /// is complete with this part.
+  using body_action = std::function<void(std::string bytes, bool last)>;
+  void read_body(std::size_t limit, body_action action);
   /// Whether the client has closed its connection; a response is then dropped.
   [[nodiscard]] bool disconnected() const noexcept { return disconnected_; }
   /// Checks the socket and returns whether the client is still connected, because the loop may not
@@ -95,6 +108,8 @@
   std::shared_ptr<detail::http_server_connection> connection_;
   http_request request_;
   buffer_charge charge_;
+  bool streamed_ = false;
+  std::optional<std::uint64_t> body_length_;
   bool responded_ = false;
   bool disconnected_ = false;
   std::function<void()> disconnect_action_;
@@ -111,6 +126,11 @@
   /// Connections that are kept open. For a further one the connection of least use is closed; if
   /// all are needed, the further one is refused with 503.
   std::size_t connections = 2'000;
+  /// A larger body is not held: its request is passed on when its headers, or this much of a body
+  /// without a length, have arrived.
+  std::size_t held_body_bytes = std::numeric_limits<std::size_t>::max();
+  /// Requests at the same time whose bodies are not held; further ones are refused with 503.
+  std::size_t streamed_requests = 4;
   friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
 
--- a/Source/wire/message.h
+++ b/Source/wire/message.h
@@ -43,6 +43,7 @@
   /// instance by now, that instance refuses the link. Empty in the hello of the daemon that
   /// accepted the connection.
   std::optional<instance_name> to;
+  bool streams_bodies = false;  ///< Whether the sender asks for bodies that follow their calls.
   bool reads_deflated = false;  ///< Whether the sender can decode deflated bodies.
   /// Dictionary of the compact messages that the sender can decode; 0 if it can decode none.
   std::uint32_t dictionary = 0;
@@ -98,6 +99,12 @@
   friend bool operator==(const call_workspace&, const call_workspace&) = default;
 };
 
+/// Body that follows its call in parts, each of which the receiver asks for.
+struct streamed_body {
+  std::optional<std::uint64_t> bytes;  ///< Size of the body, if it is known.
+  friend bool operator==(const streamed_body&, const streamed_body&) = default;
+};
+
 /// A request that is forwarded to the daemon of the chosen target.
 struct call {
   request_id id = 0;
@@ -122,6 +129,8 @@
   std::optional<call_workspace> workspace;  ///< Of the caller, if it has one.
   /// Version of the target's software that the request was sent to; empty if any may run it.
   std::optional<std::string> target_version;
+  /// Set if the body follows; `body` is empty then. Only for peers that stream bodies.
+  std::optional<streamed_body> streamed;
   /// Transit time of the call as measured by the receiver. Not sent. `deadline_left_ms` and
   /// `objective_left_ms` count from the time at which the call was sent.
   duration transit{0};
@@ -145,6 +154,24 @@
   friend bool operator==(const call_answer&, const call_answer&) = default;
 };
 
+/// Asks for the next part of the body of a call.
+struct body_request {
+  request_id id = 0;
+  std::uint64_t sender_incarnation = 0;  ///< Of the sender of the call.
+  std::uint64_t offset = 0;              ///< Bytes that have been received.
+  friend bool operator==(const body_request&, const body_request&) = default;
+};
+
+/// The next part of the body of a call.
+struct body_part {
+  request_id id = 0;
+  std::uint64_t sender_incarnation = 0;
+  std::uint64_t offset = 0;  ///< Bytes of the body before this part.
+  byte_string bytes;
+  bool last = false;
+  friend bool operator==(const body_part&, const body_part&) = default;
+};
+
 struct call_cancel {
   request_id id = 0;
   /// Incarnation of the process that sent the call. 0 if the sender of this message does not state
@@ -344,7 +371,7 @@
                  claim_answer, claim_complete, claim_complete_answer, suspicions,
                  whole_configuration_request, whole_configuration, configuration_change,
                  target_departed, freshness_request, freshness_answer, quota_report, quota_grant,
-                 rollout_state, rollout_evidence>;
+                 rollout_state, rollout_evidence, body_request, body_part>;
 
 /// A message with the fields that all messages have.
 struct envelope {
--- a/Source/wire/message_body.cpp
+++ b/Source/wire/message_body.cpp
@@ -38,6 +38,8 @@
     "quota_grant",
     "rollout_state",
     "rollout_evidence",
+    "body_request",
+    "body_part",
 };
 
 using body_decoder = message (*)(const json&, record_decoder&);
--- a/Source/wire/message_fields.h
+++ b/Source/wire/message_fields.h
@@ -23,6 +23,7 @@
                       required_field("digest", &wire::hello::configuration_digest),
                       required_field("seen_version", &wire::hello::seen_version),
                       optional_field("to", &wire::hello::to),
+                      optional_field("streams_bodies", &wire::hello::streams_bodies),
                       optional_field("reads_deflated", &wire::hello::reads_deflated),
                       optional_field("dictionary", &wire::hello::dictionary));
 };
@@ -75,6 +76,30 @@
                       required_field("rank", &wire::call_workspace::rank));
 };
 
+template <>
+struct record_fields<wire::streamed_body> {
+  static constexpr auto table =
+      std::make_tuple(optional_field("bytes", &wire::streamed_body::bytes));
+};
+
+template <>
+struct record_fields<wire::body_request> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::body_request::id),
+                      required_field("sender_incarnation", &wire::body_request::sender_incarnation),
+                      required_field("offset", &wire::body_request::offset));
+};
+
+template <>
+struct record_fields<wire::body_part> {
+  static constexpr auto table =
+      std::make_tuple(required_field("id", &wire::body_part::id),
+                      required_field("sender_incarnation", &wire::body_part::sender_incarnation),
+                      required_field("offset", &wire::body_part::offset),
+                      required_field("bytes", &wire::body_part::bytes),
+                      required_field("last", &wire::body_part::last));
+};
+
 template <>
 struct record_fields<wire::call> {
   static constexpr auto table = std::make_tuple(
@@ -94,7 +119,8 @@
       optional_field("work_class", &wire::call::work_class),
       optional_field("objective_left_ms", &wire::call::objective_left_ms),
       optional_field("workspace", &wire::call::workspace),
-      optional_field("target_version", &wire::call::target_version));
+      optional_field("target_version", &wire::call::target_version),
+      optional_field("streamed", &wire::call::streamed));
 };
 
 template <>
--- a/Tests/sidecar/mesh_fixture.cpp
+++ b/Tests/sidecar/mesh_fixture.cpp
@@ -314,7 +314,7 @@
       {"services", {{{"name", service}, {"healthPath", "/health"}, {"maxConnections", 50}}}},
       {"limits",
        {{"maxHeaderBytes", 16'384},
-        {"maxBodyBytes", 1'000'000},
+        {"maxBodyBytes", body_limit_bytes},
         {"headerTimeoutMs", 3'000},
         {"idleTimeoutMs", 15'000}}}};
   if (!workspaces.empty()) {
--- a/Tests/sidecar/mesh_fixture.h
+++ b/Tests/sidecar/mesh_fixture.h
@@ -175,6 +175,8 @@
   std::vector<std::unique_ptr<test_instance>> instances;
   /// Workspaces of the next configuration. With workspaces it also has a route "/open/".
   json workspaces = json::array();
+  /// Largest body of a request in the next configuration.
+  std::size_t body_limit_bytes = 1'000'000;
 
  private:
   [[nodiscard]] std::set<std::string> services() const;
