Keep 2,000 connections of callers in crocusdoord by default

Change: the default is 2,000. Conclusion: ordinary callers meet no limit that they did not meet before.

--- a/Source/daemon/default_settings.cpp
+++ b/Source/daemon/default_settings.cpp
@@ -61,7 +61,7 @@
 
   "limits": {
     "queue_length": 200,           // requests waiting for a slot of the target
-    "caller_connections": 1000,
+    "caller_connections": 2000,
     "body_bytes": 1000000,         // largest request or response body
     "link_output_bytes": 4000000,  // unsent output of one link between daemons
     "subset_size": 20,             // upstreams of a service that this daemon calls
--- a/Source/daemon/settings.h
+++ b/Source/daemon/settings.h
@@ -79,7 +79,7 @@
 
 struct limit_settings {
   std::int32_t queue_length = 200;             ///< Requests waiting for a slot of the target.
-  std::int32_t caller_connections = 1'000;     ///< Connections of callers.
+  std::int32_t caller_connections = 2'000;     ///< Connections of callers.
   std::int32_t body_bytes = 1'000'000;         ///< Largest request or response body.
   std::int32_t link_output_bytes = 4'000'000;  ///< Unsent output of one link between daemons.
   std::int32_t subset_size = 20;               ///< Upstreams that a daemon uses for a service.
