Split the connection and the sidecar by task, and share the calls of the store

Change: http_connection_body and http_connection_limits hold what a connection does for streamed bodies and for the limits, sidecar_daemon_reports what the sidecar logs and counts; platform/store_call serves both clients of the store.

--- a/Source/transport/buffer_account.h
+++ b/Source/transport/buffer_account.h
@@ -66,7 +66,6 @@
   /// turns, for small requests and for forwarding.
   [[nodiscard]] std::size_t limited_from() const noexcept { return budget_ / 4 * 3; }
   [[nodiscard]] bool limited() const noexcept { return total_ >= limited_from(); }
-  [[nodiscard]] bool exhausted() const noexcept { return total_ >= budget_; }
   /// Whether this many further bytes are within the budget.
   [[nodiscard]] bool has_room_for(std::size_t bytes) const noexcept {
     return total_ <= budget_ && bytes <= budget_ - total_;
@@ -95,7 +94,6 @@
       bytes_ = bytes;
     }
   }
-  [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
 
  private:
   std::shared_ptr<buffer_account> account_;
--- a/Source/transport/buffer_manager.h
+++ b/Source/transport/buffer_manager.h
@@ -53,7 +53,6 @@
   buffer_manager(timer_service& timers, std::size_t budget_bytes, reporter report = nullptr);
 
   [[nodiscard]] const std::shared_ptr<buffer_account>& account() const noexcept { return account_; }
-  [[nodiscard]] timer_service& timers() const noexcept { return timers_; }
   [[nodiscard]] std::uint64_t next_request_id() noexcept { return ++last_request_id_; }
 
   /// A reader is known from the first bytes of a request until its end.
@@ -97,4 +96,10 @@
   timer_handle report_timer_;
 };
 
+/// The account of a manager; null without one.
+[[nodiscard]] inline std::shared_ptr<buffer_account> account_of(
+    const std::shared_ptr<buffer_manager>& buffers) {
+  return buffers == nullptr ? nullptr : buffers->account();
+}
+
 }  // namespace crocusdoor
--- a/Source/transport/http_connection.cpp
+++ b/Source/transport/http_connection.cpp
@@ -31,24 +31,9 @@
 constexpr std::size_t unsent_limit_bytes = 65'536;
 /// A response that is not acknowledged this long after it was sent is checked for progress.
 constexpr duration delivery_check_delay = std::chrono::seconds(1);
-/// A client that has read nothing for this long counts as not reading above the limit.
-constexpr duration stalled_time = std::chrono::seconds(5);
 /// A new connection counts as active for this long while its first request has not arrived.
 constexpr duration first_request_time = std::chrono::milliseconds(300);
-/// Input buffers above this size are released once their content has been handled.
-constexpr std::size_t kept_input_bytes = 4'096;
-/// Sent with a refusal for lack of memory. Others need about this long to finish or to be refused.
-constexpr const char* memory_retry_after = "2";
-/// Sent with a refusal for lack of connections. Unfinished requests may be refused after this time.
-constexpr const char* connections_retry_after = "1";
-/// A request of which this much has arrived needs a larger receive buffer to arrive soon.
-constexpr std::size_t large_buffer_request_bytes = 4'096;
 constexpr int status_request_timeout = 408;
-constexpr int status_unavailable = 503;
-
-std::shared_ptr<buffer_account> account_of(const std::shared_ptr<buffer_manager>& buffers) {
-  return buffers == nullptr ? nullptr : buffers->account();
-}
 
 }  // namespace
 
@@ -178,46 +163,6 @@
          (phase_ == phase::idle && !is_idle()) || (phase_ == phase::lingering && !is_delivered());
 }
 
-bool http_server_connection::is_stalled(time_point now) {
-  const bool unused = phase_ == phase::idle || phase_ == phase::lingering;
-  return unused && !is_delivered() && now - last_active_at_ >= stalled_time;
-}
-
-connection_standing http_server_connection::standing(time_point now) const {
-  if (phase_ == phase::idle && !is_new()) {
-    return {connection_use::idle, now - last_active_at_, 0};
-  }
-  const duration age = now - request_started_at_;
-  if (phase_ != phase::reading || age < unfinished_grace_time) {
-    return {};
-  }
-  const double seconds = std::chrono::duration<double>(age).count();
-  return {connection_use::unfinished, duration::zero(),
-          static_cast<double>(request_bytes_) / seconds};
-}
-
-bool http_server_connection::evict(time_point now) {
-  const connection_use use = standing(now).use;
-  if (use == connection_use::unfinished) {
-    refuse(status_request_timeout, {{"Retry-After", connections_retry_after}});
-    return true;
-  }
-  const bool unread = use == connection_use::idle && is_stalled(now);
-  if (unread || (use == connection_use::idle && is_idle())) {
-    close(unread ? delivery_failure::output_limit : delivery_failure::closed_by_server);
-    return true;
-  }
-  return false;
-}
-
-void http_server_connection::refuse_for_lack_of_connections() {
-  refuse(status_unavailable, {{"Retry-After", connections_retry_after}});
-}
-
-bool http_server_connection::is_dispensable() {
-  return phase_ == phase::lingering && (refused_ || is_delivered());
-}
-
 std::size_t http_server_connection::unsent_output() const {
   return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
 }
@@ -339,75 +284,6 @@
   finish_writing();
 }
 
-void http_server_connection::refuse_for_memory(memory_refusal reason) {
-  buffers_->count_refusal(reason);
-  refuse(reason == memory_refusal::client_silent ? status_request_timeout : status_unavailable,
-         {{"Retry-After", memory_retry_after}});
-}
-
-incomplete_request http_server_connection::describe() const {
-  return {request_id_, reading_bytes(), last_active_at_, has_unread_bytes()};
-}
-
-void http_server_connection::set_reading(bool enabled) {
-  if (stream_ == nullptr || reading_ == enabled) {
-    return;
-  }
-  reading_ = enabled;
-  if (enabled) {
-    bufferevent_enable(stream_, EV_READ);
-  } else {
-    bufferevent_disable(stream_, EV_READ);
-  }
-}
-
-std::size_t http_server_connection::reading_bytes() const {
-  const bool holds_request = phase_ == phase::reading || streaming_;
-  return stream_ == nullptr
-             ? 0
-             : input_.capacity() + pending_input() + (holds_request ? reader_.held_bytes() : 0);
-}
-
-void http_server_connection::update_charges() {
-  if (awaits_body()) {
-    set_reading(body_action_ != nullptr);
-  }
-  if (buffers_ == nullptr) {
-    return;
-  }
-  if (input_.empty() && input_.capacity() > kept_input_bytes) {
-    input_ = std::string();
-  }
-  reading_charge_.set(reading_bytes());
-  response_charge_.set(unsent_output());
-  const bool incomplete = stream_ != nullptr && phase_ == phase::reading;
-  if (incomplete && request_id_ == 0) {
-    request_id_ = buffers_->next_request_id();
-    buffers_->add(*this);
-  } else if (!incomplete && request_id_ != 0) {
-    request_id_ = 0;
-    buffers_->remove(*this);
-  }
-  if (incomplete) {
-    set_reading(buffers_->may_read(*this));
-    enlarge_buffer();
-  } else if (phase_ == phase::answering) {
-    // Pipelined input is read when the response has been sent.
-    set_reading(awaits_body() ? body_action_ != nullptr : !buffers_->account()->limited());
-    buffers_->check();
-  } else {
-    set_reading(true);
-  }
-}
-
-void http_server_connection::enlarge_buffer() {
-  if (!large_buffer_ && reading_ && request_bytes_ >= large_buffer_request_bytes &&
-      buffers_->take_large_buffer()) {
-    large_buffer_ = true;
-    set_receive_buffer(bufferevent_getfd(stream_), large_receive_buffer_bytes);
-  }
-}
-
 void http_server_connection::post_read() {
   const auto server = server_.lock();
   if (server != nullptr && (!input_.empty() || pending_input() > 0)) {
@@ -501,104 +377,6 @@
   server->on_request(exchange);
 }
 
-bool http_server_connection::must_stream() const {
-  const auto server = server_.lock();
-  return server != nullptr && phase_ == phase::reading && reader_.in_body() &&
-         std::max<std::uint64_t>(reader_.body_length().value_or(0), reader_.untaken_body_bytes()) >
-             server->limits.held_body_bytes;
-}
-
-void http_server_connection::dispatch_stream() {
-  const auto server = server_.lock();
-  phase_ = phase::answering;
-  undelivered_action_ = nullptr;
-  keep_alive_ = false;
-  const bool limited = buffers_ != nullptr && buffers_->account()->limited();
-  if (limited || server->streamed_requests >= server->limits.streamed_requests) {
-    refuse_for_memory(memory_refusal::no_room);
-    return;
-  }
-  streaming_ = true;
-  ++server->streamed_requests;
-  const auto exchange = std::make_shared<http_exchange>(shared_from_this(), reader_.take_head(),
-                                                        account_of(buffers_));
-  exchange->streamed_ = true;
-  exchange->body_length_ = reader_.body_length();
-  exchange_ = exchange;
-  update_charges();
-  server->on_request(exchange);
-}
-
-void http_server_connection::read_body(std::size_t limit, http_exchange::body_action action) {
-  const auto server = server_.lock();
-  if (stream_ == nullptr || !streaming_ || server == nullptr) {
-    return;
-  }
-  wanted_body_bytes_ = limit;
-  body_action_ = std::move(action);
-  last_active_at_ = now();
-  server->loop.post([self = shared_from_this()] { self->provide_body(); });
-}
-
-void http_server_connection::read_streamed_body() {
-  last_active_at_ = now();
-  request_bytes_ += pending_input();
-  append_input(stream_, input_);
-  const read_progress progress = reader_.read(input_);
-  if (progress == read_progress::refused) {
-    fail_stream();
-    return;
-  }
-  if (progress == read_progress::complete) {
-    body_complete_ = true;
-    keep_alive_ = reader_.keep_alive();
-  }
-  if (buffers_ != nullptr) {
-    enlarge_buffer();
-  }
-  provide_body();
-}
-
-void http_server_connection::provide_body() {
-  const bool available = streaming_ && (body_complete_ || reader_.untaken_body_bytes() > 0);
-  if (body_action_ == nullptr || !available) {
-    update_charges();
-    return;
-  }
-  std::string bytes = reader_.take_body(wanted_body_bytes_);
-  const bool last = body_complete_ && reader_.untaken_body_bytes() == 0;
-  const http_exchange::body_action action = std::exchange(body_action_, nullptr);
-  update_charges();
-  action(std::move(bytes), last);
-}
-
-void http_server_connection::fail_stream() {
-  const std::shared_ptr<http_exchange> exchange = exchange_.lock();
-  refuse(reader_.refusal_status());
-  if (exchange != nullptr) {
-    exchange->client_disconnected();
-  }
-}
-
-void http_server_connection::end_stream() {
-  body_action_ = nullptr;
-  body_complete_ = false;
-  const auto server = server_.lock();
-  if (streaming_ && server != nullptr) {
-    --server->streamed_requests;
-  }
-  streaming_ = false;
-}
-
-bool http_server_connection::has_room_for(const http_request& request) const {
-  const std::size_t bytes = http_exchange::forwarding_bytes(request);
-  // One request may exceed the budget. Reading stops at three quarters of it, so otherwise no
-  // request of the full size could be forwarded on a machine with little memory while others are
-  // unfinished.
-  return buffers_ == nullptr || bytes <= read_schedule::small_request_bytes ||
-         buffers_->account()->has_room_for(1);
-}
-
 void http_server_connection::report_undelivered(delivery_failure cause) {
   const undelivered_action action = std::exchange(undelivered_action_, nullptr);
   if (action) {
