--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -705,6 +705,12 @@
     return call(ready_, "GET", "/readyz", {}, "", 1000).status == 200;
   }
 
+  /// Id of the sidecar's process, or -1 while there is none.
+  [[nodiscard]] pid_t pid() {
+    const std::lock_guard lock(process_mutex_);
+    return process_;
+  }
+
   void signal(int number) {
     const std::lock_guard lock(process_mutex_);
     if (process_ > 0) {
