--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -162,15 +162,27 @@
   return ntohs(address.sin_port);
 }
 
-/// A port that no other process of this machine uses now. Each port is returned once.
+/// A port that no other process of this machine uses now. It lies below the range from which the
+/// kernel takes the ports of outgoing connections. Each port is returned once.
 inline std::uint16_t free_port() {
   static std::mutex mutex;
   static std::set<std::uint16_t> used;
+  static std::mt19937 generator{std::random_device{}()};
+  constexpr std::uint16_t lowest = 12'000;
+  constexpr std::uint16_t highest = 31'000;
+  std::uniform_int_distribution<std::uint16_t> ports(lowest, highest);
   const std::lock_guard lock(mutex);
   for (;;) {
-    const std::uint16_t port = port_of(listen_on(0));
-    if (used.insert(port).second) {
+    const std::uint16_t port = ports(generator);
+    if (used.contains(port)) {
+      continue;
+    }
+    try {
+      const socket_handle probe = listen_on(port);
+      used.insert(port);
       return port;
+    } catch (const std::runtime_error&) {
+      used.insert(port);  // Another process has it.
     }
   }
 }
@@ -441,7 +453,7 @@
 
 class store_stand_in {
  public:
-  store_stand_in() : service_(0, [this](const socket_handle& c) { serve(c); }) {}
+  store_stand_in() : service_(free_port(), [this](const socket_handle& c) { serve(c); }) {}
 
   [[nodiscard]] std::uint16_t port() const noexcept { return service_.port(); }
 
@@ -663,6 +675,7 @@
   std::int64_t work_ms = 30;
   int memory_mb = 110;
   int grace_s = 6;
+  std::int64_t clock_offset_ms = 0;  ///< Of the machine's time of day when the upstream starts.
 };
 
 /// The processes of one machine. The sidecar is restarted when it ends, as the platform does.
@@ -674,7 +687,8 @@
         program_(std::move(program)),
         settings_path_(folder + "/" + options_.name + ".json"),
         output_path_(folder + "/" + options_.name + ".log"),
-        upstream_(0, [this](const socket_handle& c) { serve(c); }) {
+        upstream_port_(free_port()) {
+    start_upstream(options_.clock_offset_ms);
     write_settings();
     start();
     supervisor_ = std::thread([this] { supervise(); });
@@ -698,9 +712,7 @@
   [[nodiscard]] const std::string& upstream_id() const noexcept { return id_; }
   [[nodiscard]] std::uint16_t outbound() const noexcept { return outbound_; }
   [[nodiscard]] std::uint16_t control() const noexcept { return control_; }
-  [[nodiscard]] std::string upstream_address() const {
-    return std::string(loopback) + ":" + std::to_string(upstream_.port());
-  }
+  [[nodiscard]] std::string upstream_address() const { return endpoint(upstream_port_); }
   [[nodiscard]] bool ready() const {
     return call(ready_, "GET", "/readyz", {}, "", 1000).status == 200;
   }
@@ -718,6 +730,15 @@
     }
   }
 
+  /// Ends the process of the upstream and starts it again under the same id, while the time of day
+  /// of its machine is off by `clock_offset_ms`.
+  void restart_upstream(std::int64_t clock_offset_ms) {
+    upstream_.reset();
+    log_.line("upstream " + id_ + " ended");
+    sleep_ms(upstream_restart_ms);
+    start_upstream(clock_offset_ms);
+  }
+
   /// From now on the heartbeats say that the upstream is draining.
   void leave() {
     leaving_since_ = elapsed_ms();
@@ -727,6 +748,8 @@
   [[nodiscard]] std::int64_t leaving_since() const noexcept { return leaving_since_; }
   /// When the leaving was acknowledged, or -1.
   [[nodiscard]] std::int64_t leave_acknowledged() const noexcept { return acknowledged_; }
+  /// When the upstream began to run its last request, or -1.
+  [[nodiscard]] std::int64_t last_run() const noexcept { return last_run_; }
   /// How often the sidecar has ended without a signal of the test.
   [[nodiscard]] int own_ends() const noexcept { return own_ends_; }
 
@@ -734,6 +757,8 @@
   static constexpr std::int64_t heartbeat_ms = 1500;
   static constexpr std::int64_t heartbeat_timeout_ms = 1000;
   static constexpr std::int64_t restart_ms = 300;
+  static constexpr std::int64_t upstream_restart_ms = 100;
+  static constexpr std::int64_t retry_ms = 100;
   static constexpr std::int64_t idle_ms = 120'000;
 
   static std::string endpoint(std::uint16_t port) {
@@ -780,6 +805,14 @@
     log_.line("sidecar " + options_.name + " started");
   }
 
+  void start_upstream(std::int64_t clock_offset_ms) {
+    born_ = unix_ms() + clock_offset_ms;
+    sequence_ = 0;
+    upstream_ =
+        std::make_unique<tcp_service>(upstream_port_, [this](const socket_handle& c) { serve(c); });
+    log_.line("upstream " + id_ + " started, born " + std::to_string(born_));
+  }
+
   void supervise() {
     while (!ended_) {
       sleep_ms(10);
@@ -816,7 +849,7 @@
                          {"state", leaving ? "draining" : "ready"},
                          {"warmupLeftMs", 0},
                          {"sequence", ++sequence_},
-                         {"born", born_}};
+                         {"born", born_.load()}};
       const call_result result =
           call(control_, "PUT", "/instances/" + id_, {{"Content-Type", "application/json"}},
                beat.dump(), heartbeat_timeout_ms);
@@ -828,7 +861,8 @@
           acknowledged_ = elapsed_ms();
         }
       }
-      for (std::int64_t waited = 0; waited < heartbeat_ms && !ended_ && leaving == leaving_;
+      const std::int64_t pause_ms = result.status == 0 ? retry_ms : heartbeat_ms;
+      for (std::int64_t waited = 0; waited < pause_ms && !ended_ && leaving == leaving_;
            waited += 20) {
         sleep_ms(20);
       }
@@ -857,6 +891,7 @@
     }
     log_.line("upstream " + id_ + " of " + options_.service + " runs " + attempt + " " +
               request.word(0) + " " + request.word(1));
+    last_run_ = elapsed_ms();
     sleep_ms(options_.work_ms);
     return write_message("HTTP/1.1 200 OK",
                          {{"X-Attempt-Id", attempt}, {"X-Response-Seal", "seal-" + attempt}},
@@ -869,21 +904,23 @@
   std::string settings_path_;
   std::string output_path_;
   std::string id_ = "i-" + random_id().substr(0, 8);
-  std::int64_t born_ = unix_ms();
-  std::int64_t sequence_ = 0;
   std::uint16_t outbound_ = free_port();
   std::uint16_t ready_ = free_port();
   std::uint16_t control_ = free_port();
   std::uint16_t peers_ = free_port();
   std::uint16_t metrics_ = free_port();
+  std::atomic<std::int64_t> born_ = 0;
+  std::atomic<std::int64_t> sequence_ = 0;
   std::atomic<bool> leaving_ = false;
   std::atomic<bool> ended_ = false;
   std::atomic<std::int64_t> leaving_since_ = -1;
   std::atomic<std::int64_t> acknowledged_ = -1;
+  std::atomic<std::int64_t> last_run_ = -1;
   std::atomic<int> own_ends_ = 0;
   std::mutex process_mutex_;
   pid_t process_ = -1;
-  tcp_service upstream_;
+  std::uint16_t upstream_port_;
+  std::unique_ptr<tcp_service> upstream_;
   std::thread supervisor_;
   std::thread heartbeats_;
 };
