Review: sidecars overwrite the stored record of an acknowledged leaving

All sidecars are killed after a DELETE is acknowledged; the store answers the creation of an entry that exists with 409 alone.

--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -457,6 +457,16 @@
 
   [[nodiscard]] std::uint16_t port() const noexcept { return service_.port(); }
 
+  /// From now on the answer 409 to the creation of an object that exists does not hold the object.
+  void answer_conflicts_briefly() { brief_conflicts_ = true; }
+
+  /// The specification of an object, or null if there is none.
+  json specification(const std::string& kind, const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    const auto found = kinds_[kind].find(name);
+    return found == kinds_[kind].end() ? json() : found->second["spec"];
+  }
+
   /// Writes an object as the operator does.
   void write(const std::string& kind, const std::string& name, const json& spec) {
     const std::lock_guard lock(mutex_);
@@ -506,7 +516,8 @@
     if (method == "POST") {
       const std::string created = body.at("metadata").at("name");
       if (kinds_[kind].contains(created)) {
-        return {409, kinds_[kind][created]};
+        return {409,
+                brief_conflicts_ ? json{{"error", "the object exists"}} : kinds_[kind][created]};
       }
       return {201, put(kind, created, body.at("spec"))};
     }
@@ -656,6 +667,7 @@
     json content;
   };
 
+  std::atomic<bool> brief_conflicts_ = false;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t revision_ = 10;
@@ -675,6 +687,7 @@
   std::int64_t work_ms = 30;
   int memory_mb = 110;
   int grace_s = 6;
+  std::int64_t restart_ms = 300;     ///< From the end of the sidecar until it is started again.
   std::int64_t clock_offset_ms = 0;  ///< Of the machine's time of day when the upstream starts.
 };
 
@@ -745,6 +758,26 @@
     log_.line("upstream " + id_ + " begins to say that it leaves");
     leaving_ = true;
   }
+  /// Sends a DELETE, as an upstream does that never reports `draining`, and no more heartbeats.
+  /// Returns whether it was acknowledged.
+  bool withdraw() {
+    withdrawn_ = true;
+    last_heartbeat_ = heartbeat(false);
+    const call_result result =
+        call(control_, "DELETE", "/instances/" + id_, {{"Content-Type", "application/json"}},
+             json{{"born", born_.load()}}.dump(), heartbeat_timeout_ms);
+    log_.line("upstream " + id_ + " sends DELETE: " +
+              (result.status == 0 ? result.end : std::to_string(result.status)));
+    return result.status >= 200 && result.status < 300;
+  }
+
+  /// The heartbeat that the upstream sent just before the DELETE arrives only now.
+  void deliver_late_heartbeat() {
+    const call_result result = send_heartbeat(last_heartbeat_);
+    log_.line("heartbeat of upstream " + id_ + " from before the DELETE arrives late: " +
+              (result.status == 0 ? result.end : std::to_string(result.status)));
+  }
+
   [[nodiscard]] std::int64_t leaving_since() const noexcept { return leaving_since_; }
   /// When the leaving was acknowledged, or -1.
   [[nodiscard]] std::int64_t leave_acknowledged() const noexcept { return acknowledged_; }
@@ -756,7 +789,6 @@
  private:
   static constexpr std::int64_t heartbeat_ms = 1500;
   static constexpr std::int64_t heartbeat_timeout_ms = 1000;
-  static constexpr std::int64_t restart_ms = 300;
   static constexpr std::int64_t upstream_restart_ms = 100;
   static constexpr std::int64_t retry_ms = 100;
   static constexpr std::int64_t idle_ms = 120'000;
@@ -831,28 +863,35 @@
       log_.line("sidecar " + options_.name + " ended " +
                 (by_signal ? "by signal " + std::to_string(number)
                            : "with exit code " + std::to_string(WEXITSTATUS(status))));
-      sleep_ms(restart_ms);
+      sleep_ms(options_.restart_ms);
       if (!ended_) {
         start();
       }
     }
   }
 
+  std::string heartbeat(bool leaving) {
+    return json{{"service", options_.service},
+                {"address", upstream_address()},
+                {"zone", options_.zone},
+                {"version", "v1"},
+                {"capacity", 9},
+                {"state", leaving ? "draining" : "ready"},
+                {"warmupLeftMs", 0},
+                {"sequence", ++sequence_},
+                {"born", born_.load()}}
+        .dump();
+  }
+
+  [[nodiscard]] call_result send_heartbeat(const std::string& body) const {
+    return call(control_, "PUT", "/instances/" + id_, {{"Content-Type", "application/json"}}, body,
+                heartbeat_timeout_ms);
+  }
+
   void send_heartbeats() {
-    while (!ended_) {
+    while (!ended_ && !withdrawn_) {
       const bool leaving = leaving_;
-      const json beat = {{"service", options_.service},
-                         {"address", upstream_address()},
-                         {"zone", options_.zone},
-                         {"version", "v1"},
-                         {"capacity", 9},
-                         {"state", leaving ? "draining" : "ready"},
-                         {"warmupLeftMs", 0},
-                         {"sequence", ++sequence_},
-                         {"born", born_.load()}};
-      const call_result result =
-          call(control_, "PUT", "/instances/" + id_, {{"Content-Type", "application/json"}},
-               beat.dump(), heartbeat_timeout_ms);
+      const call_result result = send_heartbeat(heartbeat(leaving));
       const bool acknowledged = result.status >= 200 && result.status < 300;
       if (leaving) {
         log_.line("upstream " + id_ + " said that it leaves: " +
@@ -862,8 +901,8 @@
         }
       }
       const std::int64_t pause_ms = result.status == 0 ? retry_ms : heartbeat_ms;
-      for (std::int64_t waited = 0; waited < pause_ms && !ended_ && leaving == leaving_;
-           waited += 20) {
+      for (std::int64_t waited = 0;
+           waited < pause_ms && !ended_ && !withdrawn_ && leaving == leaving_; waited += 20) {
         sleep_ms(20);
       }
     }
@@ -880,8 +919,8 @@
 
   std::string respond(const http_message& request) {
     if (request.word(1) == "/healthz") {
-      return write_message(leaving_ ? "HTTP/1.1 503 -" : "HTTP/1.1 200 -", {{"X-Instance-Id", id_}},
-                           "");
+      return write_message(leaving_ || withdrawn_ ? "HTTP/1.1 503 -" : "HTTP/1.1 200 -",
+                           {{"X-Instance-Id", id_}}, "");
     }
     const std::string attempt = request.header("x-attempt-id");
     const std::string expected = request.header("x-expect-instance");
@@ -912,6 +951,8 @@
   std::atomic<std::int64_t> born_ = 0;
   std::atomic<std::int64_t> sequence_ = 0;
   std::atomic<bool> leaving_ = false;
+  std::atomic<bool> withdrawn_ = false;
+  std::string last_heartbeat_;
   std::atomic<bool> ended_ = false;
   std::atomic<std::int64_t> leaving_since_ = -1;
   std::atomic<std::int64_t> acknowledged_ = -1;
