--- a/review/10/test.cpp
+++ b/review/10/test.cpp
@@ -40,8 +40,10 @@
     const call_result result =
         call(node.outbound(), method, path, {{"X-Attempt-Id", attempt}, {"X-Deadline-Ms", "1500"}},
              "", 2000);
-    log.line("client " + attempt + " at " + node.options().name + ", " + path + ": " +
-             (result.status == 0 ? result.end : std::to_string(result.status)));
+    std::string line = "client " + attempt + " at " + node.options().name;
+    line.append(", ").append(path).append(": ");
+    line += result.status == 0 ? result.end : std::to_string(result.status);
+    log.line(line);
     ++count.sent;
     count.served += result.status == 200 ? 1 : 0;
     sleep_ms(request_pause_ms);
