--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -163,14 +163,16 @@
 }
 
 /// A port that no other process of this machine uses now. It lies below the range from which the
-/// kernel takes the ports of outgoing connections. Each port is returned once.
+/// kernel takes the ports of outgoing connections, and mostly in another part of it than those of
+/// other cases that run at the same time. Each port is returned once.
 inline std::uint16_t free_port() {
   static std::mutex mutex;
   static std::set<std::uint16_t> used;
   static std::mt19937 generator{std::random_device{}()};
-  constexpr std::uint16_t lowest = 12'000;
-  constexpr std::uint16_t highest = 31'000;
-  std::uniform_int_distribution<std::uint16_t> ports(lowest, highest);
+  constexpr int part_size = 1'000;
+  const int lowest = 12'000 + ::getpid() % 19 * part_size;
+  std::uniform_int_distribution<std::uint16_t> ports(
+      static_cast<std::uint16_t>(lowest), static_cast<std::uint16_t>(lowest + part_size - 1));
   const std::lock_guard lock(mutex);
   for (;;) {
     const std::uint16_t port = ports(generator);
@@ -453,10 +455,46 @@
 
 class store_stand_in {
  public:
-  store_stand_in() : service_(free_port(), [this](const socket_handle& c) { serve(c); }) {}
+  store_stand_in() : service_(free_port(), [this](const socket_handle& c) { serve(c, 0); }) {}
 
   [[nodiscard]] std::uint16_t port() const noexcept { return service_.port(); }
 
+  ~store_stand_in() {
+    const std::lock_guard lock(mutex_);
+    ended_ = true;
+    changed_.notify_all();
+  }
+  store_stand_in(const store_stand_in&) = delete;
+  store_stand_in& operator=(const store_stand_in&) = delete;
+
+  /// A further port of the same store, by which one machine is told from the others. Returns the
+  /// number of the machine, from 1, and the port.
+  std::pair<std::size_t, std::uint16_t> add_machine() {
+    const std::size_t number = machine_ports_.size() + 1;
+    machine_ports_.push_back(std::make_unique<tcp_service>(
+        free_port(), [this, number](const socket_handle& c) { serve(c, number); }));
+    return {number, machine_ports_.back()->port()};
+  }
+
+  /// Machines that watch the configuration now.
+  std::set<std::size_t> watching_machines() {
+    const std::lock_guard lock(mutex_);
+    std::set<std::size_t> watching;
+    for (const auto& [machine, watches] : watches_) {
+      if (watches > 0) {
+        watching.insert(machine);
+      }
+    }
+    return watching;
+  }
+
+  /// Turns these machines away with 503 until it is called again; their watches end at once.
+  void turn_away(std::set<std::size_t> machines) {
+    const std::lock_guard lock(mutex_);
+    turned_away_ = std::move(machines);
+    changed_.notify_all();
+  }
+
   /// From now on the answer 409 to the creation of an object that exists does not hold the object.
   void answer_conflicts_briefly() { brief_conflicts_ = true; }
 
@@ -477,17 +515,19 @@
   static constexpr std::int64_t answer_ms = 4;
   static constexpr std::int64_t idle_ms = 120'000;
 
-  void serve(const socket_handle& connection) {
+  static std::pair<int, json> unavailable() { return {503, {{"error", "busy"}}}; }
+
+  void serve(const socket_handle& connection, std::size_t machine) {
     message_reader reader(connection);
     while (const auto request = reader.read(idle_ms)) {
-      const auto [status, document] = handle(*request);
+      const auto [status, document] = handle(*request, machine);
       if (!send_all(connection, json_response(status, document))) {
         return;
       }
     }
   }
 
-  std::pair<int, json> handle(const http_message& request) {
+  std::pair<int, json> handle(const http_message& request, std::size_t machine) {
     const std::string target = request.word(1);
     const std::string path = target.substr(0, target.find('?'));
     const std::map<std::string, std::string> query = parse_query(target);
@@ -499,10 +539,13 @@
     const std::string name = parts.size() > 2 ? decode_percent(parts[2]) : std::string();
     const std::string method = request.word(0);
     if (method == "GET" && name.empty() && query.contains("watch")) {
-      return watch(kind, query);
+      return watch(kind, query, machine);
     }
     sleep_ms(answer_ms);
     const std::lock_guard lock(mutex_);
+    if (turned_away_.contains(machine)) {
+      return unavailable();
+    }
     if (method == "GET") {
       return name.empty() ? list(kind, query) : read(kind, name);
     }
@@ -601,24 +644,31 @@
   }
 
   std::pair<int, json> watch(const std::string& kind,
-                             const std::map<std::string, std::string>& query) {
+                             const std::map<std::string, std::string>& query, std::size_t machine) {
     const std::uint64_t since = std::strtoull(query.at("watch").c_str(), nullptr, 10);
     const auto wait = query.find("waitMs");
     const std::int64_t wait_ms = wait == query.end() ? 0 : std::atoll(wait->second.c_str());
     const steady::time_point until = steady::now() + milliseconds(wait_ms);
     std::unique_lock lock(mutex_);
-    for (;;) {
+    std::pair<int, json> answer = {0, json()};
+    ++watches_[machine];
+    while (answer.first == 0) {
       json events = json::array();
       for (const event& entry : events_) {
         if (entry.revision > since && entry.kind == kind) {
           events.push_back(entry.content);
         }
       }
-      if (!events.empty() || steady::now() >= until) {
-        return {200, {{"events", events}, {"storeRevision", revision_}}};
+      if (turned_away_.contains(machine)) {
+        answer = unavailable();
+      } else if (!events.empty() || ended_ || steady::now() >= until) {
+        answer = {200, {{"events", events}, {"storeRevision", revision_}}};
+      } else {
+        changed_.wait_until(lock, until);
       }
-      changed_.wait_until(lock, until);
     }
+    --watches_[machine];
+    return answer;
   }
 
   static std::vector<std::string> split_path(const std::string& path) {
@@ -668,12 +718,16 @@
   };
 
   std::atomic<bool> brief_conflicts_ = false;
+  bool ended_ = false;
+  std::map<std::size_t, int> watches_;
+  std::set<std::size_t> turned_away_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t revision_ = 10;
   std::map<std::string, std::map<std::string, json>> kinds_;
   std::vector<event> events_;
   tcp_service service_;
+  std::vector<std::unique_ptr<tcp_service>> machine_ports_;
 };
 
 // ---------------------------------------------------------------------------------------------
@@ -933,7 +987,9 @@
     last_run_ = elapsed_ms();
     sleep_ms(options_.work_ms);
     return write_message("HTTP/1.1 200 OK",
-                         {{"X-Attempt-Id", attempt}, {"X-Response-Seal", "seal-" + attempt}},
+                         {{"X-Attempt-Id", attempt},
+                          {"X-Response-Seal", "seal-" + attempt},
+                          {"X-Ran-At", options_.service}},
                          "result of " + attempt);
   }
 
